Evidence: a failure at once tells of a sick backend server, one after the usual time does not

Both counted alike, so one early failure left a probability of 0.17, the server got a second request and often a third, while a usual failure held sound servers. Backend servers that failed at once failed again in half after 2 s, two fifths after 4 s, a quarter after 8 s; 1.3 s after a success 5 to 11 of 100 failed. The prior, relapse and recovery were 0.15, 8 s and 9 s. Change: failures are told apart by the service's durations (early, usual, overdue); the VM that saw one classifies it. Prior 0.2, relapse 3 s, recovery 6 s for backend servers; paths keep theirs. A busy service keeps those up to 0.55 in service, since estimates are sharper. Tests: the simulation's sound servers now fail when their work would have ended, as measured; TestGrayEpisodes replays the measured episodes. TestOneFailureSendsWorkElsewhere asked for five times the failure probability of an unknown server, which a prior of 0.2 cannot give (0.18 against 0.85); it asks for above 0.75 against below 0.2 instead. TestOtherRegionHearsOfTurns names the new outcome.

--- /dev/null
+++ b/internal/dispatch/episodes_test.go
@@ -0,0 +1,65 @@
+package dispatch_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/primroseladder/primroseladder/internal/route"
+)
+
+// grayEpisodes makes each backend server fall sick at times, as on the standard days of both deployments: a sound one 0.06
+// times a second, half of the episodes short and half of them long. In an episode it fails 87 of 100 requests at once.
+func grayEpisodes(s *sim, length time.Duration, seed uint64) {
+	const (
+		usualSound  = 16 * time.Second
+		shortMean   = 2 * time.Second
+		longMean    = 8 * time.Second
+		whenSick    = 0.87
+		sickAtStart = 0.2
+	)
+	random := rand.New(rand.NewPCG(seed, 4))
+	for _, server := range s.servers {
+		var turns []time.Duration
+		isSick := random.Float64() < sickAtStart
+		startsSick := isSick
+		for at := time.Duration(0); at < length; isSick = !isSick {
+			mean := usualSound
+			if isSick {
+				mean = []time.Duration{shortMean, longMean}[random.IntN(2)]
+			}
+			at += time.Duration(random.ExpFloat64() * float64(mean))
+			turns = append(turns, at)
+		}
+		server.failing = func(at time.Duration) float64 {
+			passed := 0
+			for passed < len(turns) && turns[passed] <= at {
+				passed++
+			}
+			if startsSick == (passed%2 == 0) {
+				return whenSick
+			}
+			return usualFailures
+		}
+	}
+}
+
+// TestGrayEpisodes replays the background of the standard days on a service of 18 backend servers in one region.
+func TestGrayEpisodes(t *testing.T) {
+	const length = 400 * time.Second
+	for _, perSecond := range []float64{36, 90} {
+		for seed := range uint64(2) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSim(t, 18, route.NonIdempotent, true)
+				grayEpisodes(s, length+time.Minute, seed)
+				s.load(perSecond, length)
+				below, all := s.windowsBelowFloor(length)
+				t.Logf("%.0f requests a second: %.2f %% not served, %d of %d windows below the floor", perSecond, s.failedPercent(), below, all)
+				qt.Check(t, s.failedPercent() < 5, qt.IsTrue)
+			})
+		}
+	}
+}
--- a/internal/dispatch/floor.go
+++ b/internal/dispatch/floor.go
@@ -24,7 +24,7 @@
 	coverLimitLifetime = 200 * time.Millisecond
 	// coverMaxSick is the probability of being sick up to which a backend server gets a request while few fail. Failures may
 	// come from elsewhere at any moment, as when VMs lose power, and the floor is over the two seconds before it too.
-	coverMaxSick = 0.5
+	coverMaxSick = 0.55
 	// spreadFailures is the share of failures from which on requests are spread: the users' floor holds from a tenth on.
 	spreadFailures = 0.1
 	// endOfSpread is the share of failures below which spreading ends. The share swings by a few hundredths, and a backend
--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -45,6 +45,7 @@
 	defer s.mu.Unlock()
 	delete(h.server.open, h.number)
 	took := now.Sub(h.started)
+	outcome = s.durations.Classify(outcome, took, h.server.factor(now))
 	h.server.observePath(outcome, now)
 	isTurn := s.observe(h.server, outcome, took, now)
 	s.countOutcome(outcome, h.isTrial, now)
--- a/internal/dispatch/pattern_test.go
+++ b/internal/dispatch/pattern_test.go
@@ -30,7 +30,7 @@
 			if isSick[(at+phase)/span] {
 				return 0.9
 			}
-			return 0.012
+			return usualFailures
 		}
 	}
 }
@@ -172,24 +172,12 @@
 // lost power with the requests of two seconds in flight, and 16 of 37 sound backend servers had got nothing in those two
 // seconds. Nobody can know of it before, so enough of them must be in service at nearly all times.
 func TestFloorHoldsBeforeAnythingFails(t *testing.T) {
-	const (
-		window = 2 * time.Second
-		length = 600 * time.Second
-		step   = 500 * time.Millisecond
-	)
+	const length = 600 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		s := newSim(t, 18, route.NonIdempotent, true)
 		grayThird(s)
 		s.load(80, length)
-		below, all := 0, 0
-		for from := window; from+window < length; from += step {
-			if share, ok := s.soundInService(from, from+window); ok {
-				all++
-				if share < floorShare {
-					below++
-				}
-			}
-		}
+		below, all := s.windowsBelowFloor(length)
 		t.Logf("%.1f %% not served, %d of %d windows below the floor", s.failedPercent(), below, all)
 		qt.Check(t, below <= all/100, qt.IsTrue)
 		qt.Check(t, s.failedPercent() < 3, qt.IsTrue)
--- a/internal/dispatch/region_test.go
+++ b/internal/dispatch/region_test.go
@@ -39,7 +39,7 @@
 		near.Do(context.Background(), s.request(n))
 	}
 	c.Assert(turns, qt.HasLen, 1, qt.Commentf("the second failure turns nothing"))
-	c.Check(turns[0].Outcome, qt.Equals, evidence.Failure)
+	c.Check(turns[0].Outcome, qt.Equals, evidence.EarlyFailure)
 
 	far.HearTurn(turns[0])
 	for n := range 3 {
--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -74,6 +74,9 @@
 	simService = "bookings"
 	// simSlots is how many requests a backend server runs at a time.
 	simSlots = 4
+	// usualFailures is the share of its requests that a sound backend server fails, when their work would have ended. Sick
+	// ones fail at once.
+	usualFailures = 0.012
 )
 
 // simProtocol names the headers of the simulation.
@@ -96,7 +99,7 @@
 	regions := map[string]string{"a": "r", "b": "r"}
 	for i := range n {
 		server := &simServer{
-			sim: s, started: time.Now(), slots: make(chan struct{}, simSlots), failing: func(time.Duration) float64 { return 0.012 },
+			sim: s, started: time.Now(), slots: make(chan struct{}, simSlots), failing: func(time.Duration) float64 { return usualFailures },
 			hangs: func(string, time.Duration) bool { return false },
 		}
 		server.Server = roster.Server{
@@ -208,19 +211,26 @@
 	case <-ctx.Done():
 		return nil, &backend.AttemptError{Started: true, Err: ctx.Err()}
 	}
-	if s.sim.float() < s.failing(at) {
+	drawn := s.sim.float()
+	isFailure := drawn < s.failing(at)
+	if isFailure {
 		s.mu.Lock()
 		s.failedAt = append(s.failedAt, at)
 		s.mu.Unlock()
+	}
+	if isFailure && drawn >= usualFailures {
 		time.Sleep(time.Millisecond)
 		return s.answer(r, http.StatusInternalServerError), nil
 	}
 	select {
 	case <-time.After(time.Duration(0.3 * math.Exp(0.5*s.sim.normal()) * float64(time.Second))):
-		return s.answer(r, http.StatusOK), nil
 	case <-ctx.Done():
 		return nil, &backend.AttemptError{Started: true, Err: ctx.Err()}
 	}
+	if isFailure {
+		return s.answer(r, http.StatusInternalServerError), nil
+	}
+	return s.answer(r, http.StatusOK), nil
 }
 
 func (s *simServer) answer(r *backend.Request, status int) *backend.Answer {
@@ -310,6 +320,24 @@
 	return float64(used) / float64(max(1, sound)), sound > 0
 }
 
+// windowsBelowFloor counts the windows of two seconds in which less than the users' floor of the sound backend servers got a
+// request.
+func (s *sim) windowsBelowFloor(length time.Duration) (below, all int) {
+	const (
+		window = 2 * time.Second
+		step   = 500 * time.Millisecond
+	)
+	for from := window; from+window < length; from += step {
+		if share, ok := s.soundInService(from, from+window); ok {
+			all++
+			if share < floorShare {
+				below++
+			}
+		}
+	}
+	return below, all
+}
+
 // failsMuch reports whether it fails half of its requests or more at some time.
 func (s *simServer) failsMuch(from, to time.Duration) bool {
 	for at := max(0, from); at <= to; at += 100 * time.Millisecond {
@@ -326,6 +354,6 @@
 		if at >= from && at < to {
 			return share
 		}
-		return 0.012
+		return usualFailures
 	}
 }
--- a/internal/evidence/durations.go
+++ b/internal/evidence/durations.go
@@ -23,6 +23,10 @@
 	maxSuspicion = 4.0
 	// tailShare is the share of requests of a sound backend server that take far longer than the others.
 	tailShare = 0.01
+	// earlyShare and overdueShare are the shares of successful requests that take longer than an early failure and than an
+	// overdue one.
+	earlyShare   = 0.97
+	overdueShare = 0.03
 	// slowMemory is the time constant with which the slowness of a backend server without news is forgotten.
 	slowMemory = 5 * time.Second
 )
@@ -69,6 +73,22 @@
 	return 0.5 * math.Erfc(z/math.Sqrt2)
 }
 
+// Classify tells failures by when they came; other outcomes stay as they are. factor is how many times as long as usual
+// the backend server takes.
+func (d *Durations) Classify(o Outcome, took time.Duration, factor float64) Outcome {
+	if o != Failure {
+		return o
+	}
+	switch longer := d.Beyond(took, factor); {
+	case longer > earlyShare:
+		return EarlyFailure
+	case longer > overdueShare:
+		return UsualFailure
+	default:
+		return Failure
+	}
+}
+
 // Suspicion returns the log likelihood ratio, sick against sound, of a request that has been open for an age.
 func (d *Durations) Suspicion(age time.Duration) float64 {
 	still := d.Beyond(age, 1)
--- a/internal/evidence/estimate.go
+++ b/internal/evidence/estimate.go
@@ -19,7 +19,8 @@
 const (
 	// Success is a whole answer of the backend server that reports success.
 	Success Outcome = iota
-	// Failure is an answer that reports failure, or a connection that broke after the request was sent.
+	// Failure is an answer that reports failure, or a connection that broke after the request was sent. See
+	// Durations.Classify for when it is one of the kinds below.
 	Failure
 	// Garbled is an answer that cannot be used.
 	Garbled
@@ -29,27 +30,38 @@
 	Shed
 	// Hung means that a request has gone without an answer for longer than nearly all others.
 	Hung
+	// EarlyFailure is a failure long before work ends: a sick backend server fails at once.
+	EarlyFailure
+	// UsualFailure is a failure after as long as work takes: sound backend servers fail so now and then.
+	UsualFailure
+	// EndOfOutcomes is one above the last outcome.
+	EndOfOutcomes
 )
 
 // String returns the outcome's name in logs and metrics.
 func (o Outcome) String() string {
-	return [...]string{"success", "failure", "garbled", "unreachable", "shed", "hung"}[o]
+	return [...]string{"success", "failure", "garbled", "unreachable", "shed", "hung", "early failure", "usual failure"}[o]
 }
 
 // logRatios are the logarithms of how much likelier each outcome is at a sick backend server than at a sound one. A
-// sound server fails about 1 in 80 requests and a sick one 1 to 9 in 10 of them.
+// sound server fails about 1 in 80 requests, nearly all of them when the work would have ended, and a sick one 1 to 9 in 10
+// of them, most at once. (43,000 requests of trouble-1 of the grown Cristal Brillante: after a failure within 60 ms the next
+// request failed in 82 of 100, after a later one in 7.)
 var logRatios = map[Outcome]float64{
-	Success:     -1.2,
-	Failure:     3.8,
-	Garbled:     2.5,
-	Unreachable: 4.5,
-	Shed:        1.5,
-	Hung:        3.5,
+	Success:      -1.2,
+	Failure:      3.8,
+	Garbled:      2.5,
+	Unreachable:  4.5,
+	Shed:         1.5,
+	Hung:         3.5,
+	EarlyFailure: 7,
+	// A backend server that fails this way only is still found out, within three requests.
+	UsualFailure: 2,
 }
 
 const (
 	// usualSick is the share of backend servers that are sick at a usual moment.
-	usualSick = 0.15
+	usualSick = 0.2
 	// usualPathSick is the share of paths that are sick at a usual moment.
 	usualPathSick = 0.01
 	// maxUsualSick bounds the share that is assumed for a backend server with many episodes.
@@ -58,10 +70,16 @@
 	episodeWeight = 0.08
 	// episodeMemory is the time constant with which past episodes are forgotten.
 	episodeMemory = 60 * time.Second
-	// recoveryTime is the time constant with which a sick backend server is taken to recover.
-	recoveryTime = 9 * time.Second
-	// relapseTime is the time constant with which a sound backend server without news is taken to fall sick.
-	relapseTime = 8 * time.Second
+	// recoveryTime is the time constant with which a sick backend server is taken to recover: of those that failed at once,
+	// half failed again 2 s later, two fifths after 4 s and a quarter after 8 s (four standard days).
+	recoveryTime = 6 * time.Second
+	// pathRecoveryTime is the same for a path. A request on a path that is still cut hangs until its deadline.
+	pathRecoveryTime = 9 * time.Second
+	// relapseTime is the time constant with which a sound backend server without news is taken to fall sick: 1.3 s after a
+	// success 5 to 11 of 100 failed at once.
+	relapseTime = 3 * time.Second
+	// pathRelapseTime is the same for a path.
+	pathRelapseTime = 8 * time.Second
 	// minSick and maxSick bound the estimate, so that a change shows within a few outcomes.
 	minSick = 0.004
 	maxSick = 0.985
@@ -101,11 +119,22 @@
 	}
 	age := max(0, now.Sub(e.at).Seconds())
 	usual := e.usual()
-	constant := relapseTime.Seconds()
-	if e.sick > usual {
-		constant = recoveryTime.Seconds()
+	return usual + (e.sick-usual)*math.Exp(-age/e.timeConstant(usual).Seconds())
+}
+
+// timeConstant is the one with which the estimate goes back to what is usual.
+func (e *Estimate) timeConstant(usual float64) time.Duration {
+	isSick := e.sick > usual
+	switch {
+	case isSick && e.isPath:
+		return pathRecoveryTime
+	case isSick:
+		return recoveryTime
+	case e.isPath:
+		return pathRelapseTime
+	default:
+		return relapseTime
 	}
-	return usual + (e.sick-usual)*math.Exp(-age/constant)
 }
 
 // Observe takes the outcome of a request into account. Weight 1 stands for full trust; evidence from a path that may be
--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -19,7 +19,8 @@
 	var failed, untried evidence.Estimate
 	failed.Observe(start, evidence.Failure, 1)
 	c.Check(failed.Sick(start) > 0.5, qt.IsTrue)
-	c.Check(failed.FailureProbability(start, 0) > 5*untried.FailureProbability(start, 0), qt.IsTrue)
+	c.Check(failed.FailureProbability(start, 0) > 0.75, qt.IsTrue)
+	c.Check(untried.FailureProbability(start, 0) < 0.2, qt.IsTrue)
 	for range 4 {
 		failed.Observe(start, evidence.Success, 1)
 	}
@@ -61,7 +62,7 @@
 		now := start
 		for range rapid.IntRange(0, 50).Draw(rt, "outcomes") {
 			now = now.Add(time.Duration(rapid.IntRange(-100, 5000).Draw(rt, "after ms")) * time.Millisecond)
-			o := evidence.Outcome(rapid.IntRange(0, int(evidence.Hung)).Draw(rt, "outcome"))
+			o := evidence.Outcome(rapid.IntRange(0, int(evidence.EndOfOutcomes)-1).Draw(rt, "outcome"))
 			e.Observe(now, o, rapid.Float64Range(0, 1).Draw(rt, "weight"))
 			if p := e.FailureProbability(now, rapid.Float64Range(0, 10).Draw(rt, "suspicion")); !(p > 0 && p < 1) {
 				rt.Fatalf("probability %g", p)
@@ -84,6 +85,32 @@
 	c.Check(d.Beyond(2*time.Second, 8) > 0.5, qt.IsTrue)
 }
 
+// TestWhenAFailureComesTellsWhatItIs checks that one failure at once takes a backend server for sick that was sound, that
+// one when the work would have ended does not, and that several of these do.
+func TestWhenAFailureComesTellsWhatItIs(t *testing.T) {
+	c := qt.New(t)
+	d := evidence.NewDurations(300 * time.Millisecond)
+	for n := range 200 {
+		d.Observe(time.Duration(200+n) * time.Millisecond)
+	}
+	sickAfter := func(failures int, took time.Duration) float64 {
+		var e evidence.Estimate
+		for range 5 {
+			e.Observe(start, evidence.Success, 1)
+		}
+		for range failures {
+			e.Observe(start, d.Classify(evidence.Failure, took, 1), 1)
+		}
+		return e.Sick(start)
+	}
+	c.Check(sickAfter(1, 2*time.Millisecond) > 0.75, qt.IsTrue)
+	c.Check(sickAfter(1, 300*time.Millisecond) < 0.1, qt.IsTrue)
+	c.Check(sickAfter(5, 300*time.Millisecond) > 0.75, qt.IsTrue)
+	c.Check(d.Classify(evidence.Failure, 4*time.Second, 1), qt.Equals, evidence.Failure)
+	c.Check(d.Classify(evidence.Failure, 1200*time.Millisecond, 4), qt.Equals, evidence.UsualFailure)
+	c.Check(d.Classify(evidence.Garbled, 2*time.Millisecond, 1), qt.Equals, evidence.Garbled)
+}
+
 // TestSlownessFollowsTheServer checks that a slow backend server is told from a slow service.
 func TestSlownessFollowsTheServer(t *testing.T) {
 	c := qt.New(t)
--- a/internal/vmpeer/codec_test.go
+++ b/internal/vmpeer/codec_test.go
@@ -16,6 +16,7 @@
 		{Service: "s", Server: "i-1", Open: 3},
 		{Service: "s", Server: "i-1", HasOutcome: true, Outcome: evidence.Hung, Took: 1500 * time.Millisecond},
 		{Service: "s", Server: "i-1", HasOutcome: true, Outcome: evidence.Failure, IsTrial: true},
+		{Service: "s", Server: "i-1", HasOutcome: true, Outcome: evidence.UsualFailure, IsTrial: true},
 	} {
 		got, err := decodeEvidence(encodeEvidence(e)[1:])
 		qt.Assert(t, err, qt.IsNil)
@@ -51,7 +52,7 @@
 			return
 		}
 		body := datagram[1:]
-		if e, err := decodeEvidence(body); err == nil && e.Outcome > evidence.Hung {
+		if e, err := decodeEvidence(body); err == nil && e.Outcome >= evidence.EndOfOutcomes {
 			t.Fatalf("outcome %d", e.Outcome)
 		}
 		_, _ = decodeCrash(body)
