Mirror: one VM of a region reads the store for all its zones

Change: a VM that reads the store tells the first VM of each other zone of the region of every answer. The first VM of a zone is in reserve while it hears the reader of a zone before its own, and takes the changes from it. A VM that decides by the age of its copy first asks what its neighbours have told. Ruled out: one reader for all regions, since a KB between regions costs as much as a call.

--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -110,7 +110,8 @@
 func newMirror(p *Platform, c *mirror.Copy, f *membership.Fleet, r *membership.Registrar, peer *vmpeer.Peer, log zerolog.Logger) *mirror.Mirror {
 	return mirror.New(mirror.Options{
 		Store: p.Store, Copy: c, Neighbours: zone{f}, Fetcher: vmpeer.NewFetcher(),
-		ZonePrefix: membership.ZonePrefix(p.Settings.Get().Zone), Registered: r.Registered(), Changed: peer.SendHeartbeat, Log: log,
+		ZonePrefix: membership.ZonePrefix(p.Settings.Get().Zone), Registered: r.Registered(),
+		Changed: peer.Announce, Confirmed: peer.SendToHeads, Log: log,
 	})
 }
 
@@ -143,6 +144,7 @@
 	self.IsLeaving = p.State.IsLeaving()
 	self.Rates = p.Rates.Get(time.Now())
 	self.IsCutOff = p.Mirror.IsCutOff()
+	self.IsReader = p.Fleet.ReaderRank() == 0
 	self.IsWithoutConfig = p.State.Table() == nil
 	self.Revision = p.Copy.Revision()
 	self.AgeMS = min(p.Copy.Age(time.Now()).Milliseconds(), maxAgeMS)
@@ -171,7 +173,7 @@
 		Internal: []string{p.Headers.ExpectedInstance, p.Headers.NotExecuted, p.Headers.Instance, p.Headers.Signature},
 	}, state.AwaitTable, in.Dispatcher, state.IsLeaving, in.Metrics.Request, in.Rates, log)
 	// What is appended last stops first.
-	lc.Append(newCallerServer(p.Settings, state, in.Registrar, handler, peer.SendHeartbeat, log).hook())
+	lc.Append(newCallerServer(p.Settings, state, in.Registrar, handler, peer.Announce, log).hook())
 }
 
 func callerAddresses(members []membership.Member) []string {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -6,6 +6,7 @@
 package membership
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -40,6 +41,8 @@
 	IsLeaving bool
 	// IsCutOff tells that the VM's last call to the store failed.
 	IsCutOff bool
+	// IsReader tells that the VM reads the store for its region.
+	IsReader bool `json:",omitempty"`
 	// IsWithoutConfig tells that the VM has no configuration yet.
 	IsWithoutConfig bool
 	// AgeMS is how many milliseconds ago the VM's copy of the store was last known to be complete.
@@ -70,7 +73,10 @@
 
 	mu         sync.Mutex
 	registered map[string]Member
-	heard      map[string]heartbeat
+	// heard are the VMs of the own availability zone.
+	heard map[string]heartbeat
+	// readers are the VMs of other zones of the region that have told that they read the store.
+	readers map[string]heartbeat
 }
 
 type heartbeat struct {
@@ -87,7 +93,7 @@
 	return &Fleet{
 		self: self.Name, zone: self.Zone, regions: regions, started: time.Now(), log: log,
 		news:       make(chan struct{}, 1),
-		registered: map[string]Member{}, heard: map[string]heartbeat{},
+		registered: map[string]Member{}, heard: map[string]heartbeat{}, readers: map[string]heartbeat{},
 	}
 }
 
@@ -108,13 +114,17 @@
 // Hear takes a heartbeat.
 func (f *Fleet) Hear(m Member, now time.Time) {
 	f.mu.Lock()
-	old := f.heard[m.Name]
-	f.heard[m.Name] = heartbeat{Member: m, at: now}
+	senders := f.heard
+	if m.Zone != f.zone {
+		senders = f.readers
+	}
+	old := senders[m.Name]
+	senders[m.Name] = heartbeat{Member: m, at: now}
 	f.mu.Unlock()
 	if old.isSilent {
 		logevent.VMHeard.Log(f.log).Str("neighbour", m.Name).Send()
 	}
-	if m.Name != f.self && (m.Revision > old.Revision || m.IsCutOff != old.IsCutOff) {
+	if m.Name != f.self && (m.Zone != f.zone || m.Revision > old.Revision || m.IsCutOff != old.IsCutOff) {
 		select {
 		case f.news <- struct{}{}:
 		default:
@@ -122,13 +132,15 @@
 	}
 }
 
-// Heard returns a channel that gets a value after another VM has told of a newer copy of the store.
+// Heard returns a channel that gets a value after another VM has told of a newer copy of the store, or a reader of another
+// zone of its last answer.
 func (f *Fleet) Heard() <-chan struct{} { return f.news }
 
 // Expire notes which VMs have fallen silent, and forgets those that are gone.
 func (f *Fleet) Expire(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	maps.DeleteFunc(f.readers, func(_ string, h heartbeat) bool { return now.Sub(h.at) > forgetAfter })
 	for name, h := range f.heard {
 		if _, isRegistered := f.registered[name]; !isRegistered && now.Sub(h.at) > forgetAfter {
 			delete(f.heard, name)
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -27,8 +27,9 @@
 	// stays below the 2 s in which a change must be in force; a reader's copy is at most watchWait and a call old.
 	staleAfter = 1500 * time.Millisecond
 	// reserveAfter is the age from which on the VM that is a zone's reader in reserve reads. The reader's copy is confirmed
-	// every watchWait and a call; the reserve has read before others reach staleAfter.
-	reserveAfter = 1250 * time.Millisecond
+	// every watchWait and a call, and heartbeats tell of it within 250 ms; the reserve has read before others reach
+	// staleAfter.
+	reserveAfter = 1300 * time.Millisecond
 	// retryBase and retryMax bound the pause after a failed call.
 	retryBase = 100 * time.Millisecond
 	retryMax  = 600 * time.Millisecond
@@ -56,11 +57,11 @@
 	Confirmed time.Time
 }
 
-// Neighbours knows the VMs of the availability zone.
+// Neighbours knows the VMs of the availability zone, and the readers of other zones.
 type Neighbours interface {
 	// ReaderRank returns the rank of this VM among those that read the store for the zone, from 0, or a negative number.
 	ReaderRank() int
-	// Sources returns the other VMs of the zone that can be heard, the freshest copy first.
+	// Sources returns the other VMs that can be heard, the freshest copy first.
 	Sources() []Source
 	// Heard returns a channel that gets a value after news of other VMs.
 	Heard() <-chan struct{}
@@ -83,6 +84,8 @@
 	Registered <-chan struct{}
 	// Changed is called when the state that others go by has changed. It tells them.
 	Changed func()
+	// Confirmed is called when the store has told what has changed, or that nothing has.
+	Confirmed func()
 	Log     zerolog.Logger
 }
 
@@ -167,14 +170,24 @@
 	case rank == 0:
 		return true
 	case rank > 0:
-		return m.Copy.Age(now) > reserveAfter
+		return m.age(now) > reserveAfter
 	case m.isCutOff.Load():
 		return now.After(m.nextTry)
 	default:
-		return m.Copy.Age(now) > staleAfter
+		return m.age(now) > staleAfter
 	}
 }
 
+// age returns the age of the copy. Other VMs that have no more changes than this one tell that it was complete later.
+func (m *Mirror) age(now time.Time) time.Duration {
+	for _, s := range m.Neighbours.Sources() {
+		if s.Revision <= m.Copy.Revision() {
+			m.Copy.Confirm(s.Confirmed)
+		}
+	}
+	return m.Copy.Age(now)
+}
+
 // read makes one call to the store.
 func (m *Mirror) read(ctx context.Context) {
 	var err error
@@ -204,6 +217,7 @@
 		return err
 	}
 	m.Copy.Adopt(changes, time.Now())
+	m.Confirmed()
 	if len(changes.Items) > 0 {
 		periodic.Pause(ctx, rearmDelay)
 	}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -24,12 +25,17 @@
 
 // vm is a VM of a zone with its own way to the store.
 type vm struct {
-	name   string
-	client *kvtest.Client
-	fleet  *membership.Fleet
-	copied *mirror.Copy
-	giver  *mirror.Giver
-	mirror *mirror.Mirror
+	name string
+	zone string
+	// stop ends it without notice.
+	stop context.CancelFunc
+	// toldAsReader tells that it last told other zones that it reads the store.
+	toldAsReader bool
+	client       *kvtest.Client
+	fleet        *membership.Fleet
+	copied       *mirror.Copy
+	giver        *mirror.Giver
+	mirror       *mirror.Mirror
 	// transfers is how many VMs take the whole copy just now.
 	transfers atomic.Int32
 
@@ -55,10 +61,12 @@
 	return v.values[key]
 }
 
-// zone is a zone of VMs under fake time. Heartbeats and fetches take no time.
+// zone is a zone of VMs under fake time, or a region of some. Heartbeats and fetches take no time.
 type zone struct {
 	store *kvtest.Store
 	vms   []*vm
+	// zones is how many zones the VMs are in; 0 stands for one.
+	zones int
 	// needsRegistration tells that a VM sends heartbeats only to those whose registrations its copy holds.
 	needsRegistration bool
 	// wholeCopyTime is how long the whole copy takes over the link of the VM that gives it, alone on the link.
@@ -119,20 +127,31 @@
 	store := z.store
 	registered := make(chan struct{})
 	close(registered)
+	regions := map[string]string{"a": "r", "b": "r", "c": "r"}
 	for n := range size {
-		self := membership.Member{Name: fmt.Sprintf("vm-%d", n), Zone: "a", Region: "r"}
-		v := &vm{name: self.Name, client: store.Client(), values: map[string]string{}}
-		v.fleet = membership.New(self, map[string]string{"a": "r"}, zerolog.Nop())
+		self := z.member(n)
+		v := &vm{name: self.Name, zone: self.Zone, client: store.Client(), values: map[string]string{}}
+		v.fleet = membership.New(self, regions, zerolog.Nop())
+		for other := range size {
+			if z.zones > 1 {
+				v.fleet.Register(z.member(other))
+			}
+		}
 		v.copied = mirror.NewCopy(v.apply)
 		v.giver = mirror.NewGiver(v.copied)
-		beat := func() { z.beat(v) }
+		beat := func() {
+			z.beat(v)
+			z.tellHeads(v)
+		}
 		v.mirror = mirror.New(mirror.Options{
 			Store: v.client, Copy: v.copied, Neighbours: neighbours{v.fleet}, Fetcher: z, ZonePrefix: registration(""),
-			Registered: registered, Changed: beat, Log: zerolog.Nop(),
+			Registered: registered, Changed: beat, Confirmed: func() { z.tellHeads(v) }, Log: zerolog.Nop(),
 		})
 		z.vms = append(z.vms, v)
 	}
 	for _, v := range z.vms {
+		ctx, stop := context.WithCancel(ctx)
+		v.stop = stop
 		go v.mirror.Run(ctx)
 		go func() {
 			for ctx.Err() == nil {
@@ -143,13 +162,42 @@
 	}
 }
 
+// member returns how VM n is known.
+func (z *zone) member(n int) membership.Member {
+	return membership.Member{Name: fmt.Sprintf("vm-%d", n), Zone: string(rune('a' + n%max(1, z.zones))), Region: "r"}
+}
+
+// tellHeads tells the VMs that follow the store for the other zones that a VM has read it, or does so no longer.
+func (z *zone) tellHeads(from *vm) {
+	self := from.describe()
+	if !self.IsReader && !from.toldAsReader {
+		return
+	}
+	from.toldAsReader = self.IsReader
+	for _, head := range from.fleet.Heads() {
+		for _, v := range z.vms {
+			if v.name == head.Name {
+				v.fleet.Hear(self, time.Now())
+			}
+		}
+	}
+}
+
+// describe returns what the VM tells of itself.
+func (v *vm) describe() membership.Member {
+	return membership.Member{
+		Name: v.name, Zone: v.zone, Region: "r", IsCutOff: v.mirror.IsCutOff(), Revision: v.copied.Revision(),
+		AgeMS: v.copied.Age(time.Now()).Milliseconds(), IsReader: v.fleet.ReaderRank() == 0,
+	}
+}
+
 func (z *zone) beat(from *vm) {
 	now := time.Now()
-	self := membership.Member{
-		Name: from.name, Zone: "a", Region: "r", IsCutOff: from.mirror.IsCutOff(), Revision: from.copied.Revision(),
-		AgeMS: from.copied.Age(now).Milliseconds(),
-	}
+	self := from.describe()
 	for _, v := range z.vms {
+		if v.zone != from.zone {
+			continue
+		}
 		if v == from || !z.needsRegistration || from.value(registration(v.name)) != "" {
 			v.fleet.Hear(self, now)
 		}
@@ -208,33 +256,39 @@
 			z.store.Put("config", "2")
 			return nil
 		}},
+		{"the reader is lost", func(z *zone) []string {
+			reader := z.readers()[0]
+			reader.stop()
+			z.store.Put("config", "2")
+			return []string{reader.name}
+		}},
 		{"both readers fall silent", func(z *zone) []string {
 			return z.turnAway((*kvtest.Client).SetSilent)
 		}},
 	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(context.Background())
-				defer cancel()
-				store := kvtest.New()
-				store.Put("config", "1")
-				z := newZone(ctx, store, 12)
-				time.Sleep(5 * time.Second)
-				qt.Assert(t, z.lacking("config", "1"), qt.HasLen, 0)
-				excused := test.change(z)
-				time.Sleep(inForce)
-				lacking := z.lacking("config", "2")
-				for _, name := range excused {
-					if len(lacking) > 0 && lacking[0] == name {
-						lacking = lacking[1:]
-					}
-				}
-				qt.Check(t, lacking, qt.HasLen, 0)
-				cancel()
-				time.Sleep(5 * time.Second)
+	for _, zones := range []int{1, 3} {
+		for _, test := range tests {
+			t.Run(fmt.Sprintf("%d zones, %s", zones, test.name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(context.Background())
+					defer cancel()
+					store := kvtest.New()
+					store.Put("config", "1")
+					z := &zone{store: store, zones: zones}
+					z.start(ctx, 12)
+					time.Sleep(3 * time.Second)
+					qt.Assert(t, z.lacking("config", "1"), qt.HasLen, 0)
+					excused := test.change(z)
+					time.Sleep(inForce)
+					lacking := slices.DeleteFunc(z.lacking("config", "2"), func(name string) bool {
+						return slices.Contains(excused, name)
+					})
+					qt.Check(t, lacking, qt.HasLen, 0)
+					cancel()
+					time.Sleep(5 * time.Second)
+				})
 			})
-		})
+		}
 	}
 }
 
@@ -267,6 +321,24 @@
 	})
 }
 
+// TestOneZoneReadsForItsRegion checks that the VMs of three zones call the store no more often than those of one.
+func TestOneZoneReadsForItsRegion(t *testing.T) {
+	const seconds = 30
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		store := kvtest.New()
+		z := &zone{store: store, zones: 3}
+		z.start(ctx, 60)
+		time.Sleep(3 * time.Second)
+		before := store.Calls()
+		time.Sleep(seconds * time.Second)
+		qt.Check(t, store.Calls()-before <= seconds+2, qt.IsTrue, qt.Commentf("%d calls", store.Calls()-before))
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
+
 // TestOutageCostsFewCalls checks that a zone does not press a store that is down for all.
 func TestOutageCostsFewCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/vmpeer/peer.go
+++ b/internal/vmpeer/peer.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -46,6 +47,8 @@
 	// self tells how the VM is.
 	self func() membership.Member
 	log  zerolog.Logger
+	// isReader tells that the heads of other zones were last told that this VM reads the store.
+	isReader atomic.Bool
 
 	mu sync.Mutex
 	// correspondents are the VMs that lately sent evidence, by service and address.
@@ -216,6 +219,23 @@
 	p.sendHeartbeat(self, p.fleet.Neighbours())
 }
 
+// Announce tells the VMs of the zone and, where this VM reads the store, those of other zones, that it has changed.
+func (p *Peer) Announce() {
+	p.SendHeartbeat()
+	p.SendToHeads()
+}
+
+// SendToHeads tells the VMs which follow the store for the other zones of the region that this VM has read it, or does so
+// no longer.
+func (p *Peer) SendToHeads() {
+	self := p.self()
+	if wasReader := p.isReader.Swap(self.IsReader); !self.IsReader && !wasReader {
+		return
+	}
+	self.Rates = nil
+	p.sendHeartbeat(self, p.fleet.Heads())
+}
+
 func (p *Peer) sendHeartbeat(self membership.Member, to []membership.Member) {
 	datagram, err := encodeHeartbeat(self)
 	if err != nil {
