--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -86,7 +86,7 @@
 	Changed func()
 	// Confirmed is called when the store has told what has changed, or that nothing has.
 	Confirmed func()
-	Log     zerolog.Logger
+	Log       zerolog.Logger
 }
 
 // Mirror keeps a copy up to date.
