Dispatch: the reset of a connection that was unused for a second is no early failure

Change: an attempt's error tells how long its connection was unused; from a second on its reset counts as before. A giver of copies frees its place also where writing panics. Test: TestResetOfAnIdleConnectionProvesLittle, which fails without it.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -127,6 +127,14 @@
 	return err == nil && usable
 }
 
+// unusedFor is how long the connection has been unused; 0 for a new one.
+func (c *conn) unusedFor() time.Duration {
+	if !c.isReused {
+		return 0
+	}
+	return time.Since(c.idleSince)
+}
+
 // write sends the request. It reports whether any byte may have left.
 func (c *conn) write(r *Request) (started bool, err error) {
 	c.written = 0
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -42,6 +42,8 @@
 type AttemptError struct {
 	// Started is true where the backend server may have begun to run the request.
 	Started bool
+	// IdleFor is how long the connection was unused before; 0 for a new one.
+	IdleFor time.Duration
 	Err     error
 }
 
@@ -87,6 +89,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = c.SetDeadline(deadline)
 	}
+	idleFor := c.unusedFor()
 	// A cancelled context ends the read at once.
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	answer, reusable, failure := exchange(c, r)
@@ -95,7 +98,7 @@
 	}
 	p.release(c, reusable)
 	if failure != nil {
-		failure.Err = peererr.Wrap(failure.Err, "exchange", p.address)
+		failure.Err, failure.IdleFor = peererr.Wrap(failure.Err, "exchange", p.address), idleFor
 		return nil, failure
 	}
 	return answer, nil
@@ -212,6 +215,15 @@
 	return !errors.As(err, &attempt) || attempt.Started
 }
 
+// IdleBefore returns how long the connection of a failed attempt was unused before; 0 for a new one.
+func IdleBefore(err error) time.Duration {
+	var attempt *AttemptError
+	if !errors.As(err, &attempt) {
+		return 0
+	}
+	return attempt.IdleFor
+}
+
 // IsConnectionBroken reports whether the backend server ended the connection before it sent any of an answer.
 func IsConnectionBroken(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) ||
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -17,6 +17,9 @@
 const (
 	// maxConnectFailures is how many backend servers that cannot be reached are passed over for one request.
 	maxConnectFailures = 4
+	// ambiguousIdle is how long a connection may have been unused before for its end to tell of the backend server. Some
+	// backend servers forget idle connections after a few seconds, and reset them at the next request.
+	ambiguousIdle = time.Second
 	// maxAnswerBytes bounds the body of an answer, which is held in memory.
 	maxAnswerBytes = 16 << 20
 )
@@ -126,7 +129,7 @@
 	a.last.Outcome, a.last.Answer = Answered, answer
 	a.dispatcher.crashes.RecordAnswer(f)
 	if answer.Status >= http.StatusInternalServerError {
-		h.end(evidence.Failure, 0)
+		h.endFailed()
 		return a.afterFailure()
 	}
 	h.end(evidence.Success, len(a.request.Body)+len(answer.Body))
@@ -196,7 +199,11 @@
 		return a.notRun(reasonConnect, elsewhere)
 	}
 	if backend.IsConnectionBroken(err) {
-		h.end(evidence.Failure, 0)
+		if backend.IdleBefore(err) >= ambiguousIdle {
+			h.end(evidence.Failure, 0)
+		} else {
+			h.endFailed()
+		}
 		if a.dispatcher.crashes.RecordCrash(f, h.id) {
 			a.dispatcher.options.ShareCrash(f, h.id)
 		}
--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -45,7 +45,6 @@
 	defer s.mu.Unlock()
 	delete(h.server.open, h.number)
 	took := now.Sub(h.started)
-	outcome = s.durations.Classify(outcome, took, h.server.factor(now))
 	h.server.observePath(outcome, now)
 	isTurn := s.observe(h.server, outcome, took, now)
 	s.countOutcome(outcome, h.isTrial, now)
@@ -58,6 +57,15 @@
 	})
 }
 
+// endFailed notes a failure, whose time tells what kind it is.
+func (h *hold) endFailed() {
+	now := time.Now()
+	h.service.mu.Lock()
+	outcome := h.service.durations.Classify(evidence.Failure, now.Sub(h.started), h.server.factor(now))
+	h.service.mu.Unlock()
+	h.end(outcome, 0)
+}
+
 // abandon notes the end of a request that says nothing of the backend server, because its caller is gone.
 func (h *hold) abandon() {
 	h.service.mu.Lock()
--- a/internal/dispatch/outcome_test.go
+++ b/internal/dispatch/outcome_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/primroseladder/primroseladder/internal/backend"
 	"github.com/primroseladder/primroseladder/internal/dispatch"
+	"github.com/primroseladder/primroseladder/internal/evidence"
 	"github.com/primroseladder/primroseladder/internal/poison"
 	"github.com/primroseladder/primroseladder/internal/roster"
 	"github.com/primroseladder/primroseladder/internal/route"
@@ -30,6 +31,8 @@
 	// wait is how long the attempt takes; with hangs it ends with its context.
 	wait  time.Duration
 	hangs bool
+	// idleFor is how long the connection was unused before.
+	idleFor time.Duration
 }
 
 // script answers attempts in turn, whichever backend server they go to.
@@ -37,6 +40,8 @@
 	mu    sync.Mutex
 	steps []step
 	sent  []*backend.Request
+	// share is told the evidence, where it is set.
+	share func(dispatch.Evidence)
 }
 
 func (s *script) Do(ctx context.Context, r *backend.Request) (*backend.Answer, error) {
@@ -51,7 +56,7 @@
 		return nil, &backend.AttemptError{Started: true, Err: ctx.Err()}
 	}
 	if next.err != nil {
-		return nil, &backend.AttemptError{Started: next.started, Err: next.err}
+		return nil, &backend.AttemptError{Started: next.started, IdleFor: next.idleFor, Err: next.err}
 	}
 	return &backend.Answer{Status: next.status, Header: next.header}, nil
 }
@@ -60,6 +65,12 @@
 
 func (s *script) Close() {}
 
+func (s *script) tell(e dispatch.Evidence) {
+	if s.share != nil {
+		s.share(e)
+	}
+}
+
 func signed(status int) step {
 	return step{status: status, header: http.Header{simProtocol.Signature: {"s"}}}
 }
@@ -77,7 +88,7 @@
 	d := dispatch.New(dispatch.Options{
 		Zone: "a", Region: "r", Regions: map[string]string{"a": "r"}, Protocol: simProtocol, Log: zerolog.Nop(),
 		Connect: func(roster.Server, int) dispatch.Connections { return s },
-		Share:   func(dispatch.Evidence) {}, ShareCrash: func(poison.Fingerprint, string) {},
+		Share:   s.tell, ShareCrash: func(poison.Fingerprint, string) {},
 		RetryWindow: time.Second, RetryAllowance: func(string) float64 { return 1000 },
 	})
 	list := []roster.Server{}
@@ -175,3 +186,20 @@
 		c.Check(s.sent[0].Header.Get(simProtocol.ExpectedInstance), qt.Not(qt.Equals), s.sent[1].Header.Get(simProtocol.ExpectedInstance))
 	})
 }
+
+// TestResetOfAnIdleConnectionProvesLittle replays idle_race of the grown deployments: backend servers forget idle connections, so
+// the reset of one that was unused for seconds says less of them than the reset of one in use.
+func TestResetOfAnIdleConnectionProvesLittle(t *testing.T) {
+	for idleFor, want := range map[time.Duration]evidence.Outcome{
+		0: evidence.EarlyFailure, 300 * time.Millisecond: evidence.EarlyFailure, 2 * time.Second: evidence.Failure,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			reset := step{err: syscall.ECONNRESET, started: true, idleFor: idleFor}
+			var told []dispatch.Evidence
+			s := &script{steps: []step{reset}, share: func(e dispatch.Evidence) { told = append(told, e) }}
+			carryOut(route.NonIdempotent, s, 3*time.Second, 3*time.Second)
+			qt.Assert(t, told, qt.HasLen, 2)
+			qt.Check(t, told[1].Outcome, qt.Equals, want, qt.Commentf("unused for %v", idleFor))
+		})
+	}
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -48,11 +48,11 @@
 	mu sync.Mutex
 }
 
-// NewState returns a state without configuration.
-// selfGone is called when the store has removed the registration of this VM.
+// NewState returns a state without configuration. selfGone is called when the store has removed the registration of this VM.
 func NewState(codec Codec, d *dispatch.Dispatcher, f *membership.Fleet, self membership.Member, selfGone func(), log zerolog.Logger) *State {
 	return &State{
-		codec: codec, roster: roster.New(), dispatcher: d, fleet: f, self: self, selfGone: selfGone, started: time.Now(), first: make(chan struct{}), log: log,
+		codec: codec, roster: roster.New(), dispatcher: d, fleet: f, self: self, selfGone: selfGone,
+		started: time.Now(), first: make(chan struct{}), log: log,
 	}
 }
 
--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -1,7 +1,8 @@
 // Package mirror keeps a copy of the store in memory.
 //
-// In each region one VM reads the store by watches, and tells a VM in each other availability zone of it; the others take the
-// changes from a VM of their zone, whose heartbeats tell its revision. Each zone has a VM in reserve. A VM that starts reads only the registrations of its zone, and takes the rest
+// In each region one VM reads the store by watches, and tells a VM in each other availability zone of it; the others take
+// the changes from a VM of their zone, whose heartbeats tell its revision. Each zone has a VM in reserve, which reads when the
+// copies grow old. A VM that starts reads only the registrations of its zone, and takes the rest
 // from a VM that has it. A VM that hears no reader reads the store itself. While neither can be
 // reached, the last copy stays in use and counts as behind. Where the store has discarded the history that a watch
 // needs, the store is read whole again, and keys that are gone are reported as deleted.
--- a/internal/mirror/giver.go
+++ b/internal/mirror/giver.go
@@ -34,9 +34,8 @@
 	select {
 	case g.whole <- struct{}{}:
 		began := time.Now()
-		err := send(g.copy.Since(after))
-		time.AfterFunc(minGiveTime-time.Since(began), func() { <-g.whole })
-		return err
+		defer func() { time.AfterFunc(minGiveTime-time.Since(began), func() { <-g.whole }) }()
+		return send(g.copy.Since(after))
 	default:
 		return ErrBusy
 	}
