--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -30,7 +30,7 @@
 	// stop ends it without notice.
 	stop context.CancelFunc
 	// toldAsReader tells that it last told other zones that it reads the store.
-	toldAsReader bool
+	toldAsReader atomic.Bool
 	client       *kvtest.Client
 	fleet        *membership.Fleet
 	copied       *mirror.Copy
@@ -145,7 +145,8 @@
 		}
 		v.mirror = mirror.New(mirror.Options{
 			Store: v.client, Copy: v.copied, Neighbours: neighbours{v.fleet}, Fetcher: z, ZonePrefix: registration(""),
-			Registered: registered, IsResumed: func() bool { return false }, Changed: beat, Confirmed: func() { z.tellHeads(v) }, Log: zerolog.Nop(),
+			Registered: registered, IsResumed: func() bool { return false },
+			Changed: beat, Confirmed: func() { z.tellHeads(v) }, Log: zerolog.Nop(),
 		})
 		z.vms = append(z.vms, v)
 	}
@@ -170,10 +171,9 @@
 // tellHeads tells the VMs that follow the store for the other zones that a VM has read it, or does so no longer.
 func (z *zone) tellHeads(from *vm) {
 	self := from.describe()
-	if !self.IsReader && !from.toldAsReader {
+	if wasReader := from.toldAsReader.Swap(self.IsReader); !self.IsReader && !wasReader {
 		return
 	}
-	from.toldAsReader = self.IsReader
 	for _, head := range from.fleet.Heads() {
 		for _, v := range z.vms {
 			if v.name == head.Name {
