--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Runs all tests but those that KNOWN-RED.txt names, which it prints. An entry's first field is "scenario NAME", which
-# the scenario runner passes over, "day SITE NAME", a day of the users' bench that no test here runs, or a package and a
+# the scenario runner passes over, "day SITE NAME", a day of the users' bench that no test here runs, "tool NAME", a fault of a
+# tool, for which nothing is passed over, or a package and a
 # test, such as "internal/health TestBoard/all_slow". The soak comes last, alone: it takes the machine that other tests
 # measure times on.
 set -eu
