--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -76,6 +76,13 @@
 // registration is the key of a VM's registration.
 func registration(name string) string { return "peers/" + name }
 
+// putRegistrations leaves the registrations of a zone in the store, as a loss of power does.
+func putRegistrations(store *kvtest.Store, size int) {
+	for n := range size {
+		store.Put(registration(fmt.Sprintf("vm-%d", n)), "1")
+	}
+}
+
 func (z *zone) Fetch(_ context.Context, address string, after uint64) (mirror.Changes, error) {
 	for _, v := range z.vms {
 		if v.name == address {
@@ -379,9 +386,7 @@
 		defer cancel()
 		store := kvtest.New()
 		store.Put("config", "1")
-		for n := range size {
-			store.Put(registration(fmt.Sprintf("vm-%d", n)), "1")
-		}
+		putRegistrations(store, size)
 		for n := range servers {
 			store.Put(fmt.Sprintf("servers/%d", n), "1")
 		}
--- a/internal/mirror/start_test.go
+++ b/internal/mirror/start_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,9 +20,7 @@
 		defer cancel()
 		store := kvtest.New()
 		store.Put("config", "1")
-		for n := range size {
-			store.Put(registration(fmt.Sprintf("vm-%d", n)), "1")
-		}
+		putRegistrations(store, size)
 		z := &zone{store: store, needsRegistration: true, wholeCopyTime: 30 * time.Millisecond}
 		z.start(ctx, size)
 		time.Sleep(600 * time.Millisecond)
