Link stand-in: a gate that closes waits for the end of accept, so that its fillers stay in the queue

The gate fills its own accept queue so that new connections hang. The goroutine that accepts could still be inside accept when the gate filled the queue, between its look at the deadline and the system call. It then took the connection that was to fill the queue, found that it was the gate's own, closed it, and the queue had room again. Change: a mutex is held around accept; a gate that closes sets the deadline, waits for the mutex, and only then fills. Conclusion: a fault of the stand-in, which the scenarios and the soak use for one-way cuts as well.

--- a/internal/standin/link/gate.go
+++ b/internal/standin/link/gate.go
@@ -23,6 +23,8 @@
 // that the kernel drops their first packets.
 type gate struct {
 	listener *net.TCPListener
+	// accepting is held during a call of accept, so that a gate that closes can wait for the end of one.
+	accepting sync.Mutex
 
 	mu       sync.Mutex
 	isClosed bool
@@ -65,8 +67,10 @@
 		return
 	}
 	g.opened = make(chan struct{})
-	g.setBacklog(0)
 	_ = g.listener.SetDeadline(time.Unix(1, 0))
+	g.accepting.Lock()
+	defer g.accepting.Unlock()
+	g.setBacklog(0)
 	g.fill()
 }
 
@@ -95,7 +99,9 @@
 		if err := g.awaitOpen(ctx); err != nil {
 			return nil, err
 		}
+		g.accepting.Lock()
 		conn, err := g.listener.AcceptTCP()
+		g.accepting.Unlock()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			continue
 		}
--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -125,3 +125,29 @@
 	c.Check(err, qt.ErrorIs, syscall.ECONNRESET)
 	exchange(c, dial(c, relay), "after")
 }
+
+// TestCutHoldsRightAfterAConnection cuts while the relay is on its way back into accept, where the connections that fill
+// the queue of the closed gate must not be accepted.
+func TestCutHoldsRightAfterAConnection(t *testing.T) {
+	const (
+		relays = 8
+		rounds = 25
+	)
+	for range relays {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			for range rounds {
+				relay, forward, _ := newPath(c)
+				dial(c, relay)
+				forward.SetCut(true)
+				for !relay.IsSettled() {
+					time.Sleep(time.Millisecond)
+				}
+				_, err := net.DialTimeout("tcp", relay.Address(), 50*time.Millisecond)
+				c.Assert(err, qt.ErrorMatches, ".*i/o timeout")
+				relay.Close()
+			}
+		})
+	}
+}
