Return of many VMs: the first readers of a zone alone read the whole store, the others meet them and wait

Each read the registrations of its zone (75 x 75 of them in each zone, about 1.4 s of the link), four or more read the whole store (VMs that come up first hear nobody and take themselves for the first reader). Calls then took longer than their timeout of 1.5 s; a VM whose read of the registrations failed read the whole store at once, so that all 150 did. Change: keys of registrations are in the order in which VMs read the store, the first readers last. A VM that comes back reads the last eighth of the range (all of it in zones with fewer than four VMs there), and tries again where that fails. In its first 0.5 s it counts registered VMs as alive that it has not heard. The reader in reserve starts 0.7 s after the reader; others wait 2 to 3 s from the moment that a VM has a copy, 6 to 9 s while none has one. Ruled out: giving copies, which took 5 ms each; the store itself, which answered those calls that fitted the link.

--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -114,7 +114,8 @@
 func newMirror(p *Platform, c *mirror.Copy, f *membership.Fleet, r *membership.Registrar, peer *vmpeer.Peer, log zerolog.Logger) *mirror.Mirror {
 	return mirror.New(mirror.Options{
 		Store: p.Store, Copy: c, Neighbours: zone{f}, Fetcher: vmpeer.NewFetcher(),
-		ZonePrefix: membership.ZonePrefix(p.Settings.Get().Zone), Registered: r.Registered(),
+		ZonePrefix: membership.ZonePrefix(p.Settings.Get().Zone), FirstReadersAfter: membership.FirstReadersAfter(p.Settings.Get().Zone),
+		Registered: r.Registered(), IsFirstStart: p.Settings.Get().IsFirstStart,
 		IsResumed: r.IsResumed, Changed: peer.Announce, Confirmed: peer.SendToHeads, Log: log,
 	})
 }
--- a/internal/kv/kvtest/kvtest.go
+++ b/internal/kv/kvtest/kvtest.go
@@ -29,6 +29,10 @@
 	readLimit int
 	// reads are the times of the reads of the last second.
 	reads []time.Time
+	// itemTime is how long an item takes over the link that all answers of ranges share; 0 stands for no time.
+	itemTime time.Duration
+	// linkFreeAt is when the link has carried all answers so far.
+	linkFreeAt time.Time
 }
 
 // lease is a lease with the time at which Expire ends it.
@@ -92,6 +96,38 @@
 	s.readLimit = perSecond
 }
 
+// SetLink makes all answers of ranges share a link that carries a number of items in a second.
+func (s *Store) SetLink(itemsPerSecond int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.itemTime = time.Second / time.Duration(itemsPerSecond)
+}
+
+// rangeTimeout ends a range whose answer is still on the link.
+const rangeTimeout = 1500 * time.Millisecond
+
+// carry waits until the link has carried an answer. An answer that comes too late uses the link as well.
+func (s *Store) carry(ctx context.Context, items int) error {
+	s.mu.Lock()
+	now := time.Now()
+	if s.linkFreeAt.Before(now) {
+		s.linkFreeAt = now
+	}
+	s.linkFreeAt = s.linkFreeAt.Add(time.Duration(items) * s.itemTime)
+	wait := s.linkFreeAt.Sub(now)
+	s.mu.Unlock()
+	isLate := wait > rangeTimeout
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(min(wait, rangeTimeout)):
+	}
+	if isLate {
+		return kv.ErrUnavailable
+	}
+	return nil
+}
+
 // takeRead reports whether a read is within the limit.
 func (s *Store) takeRead(now time.Time) bool {
 	s.mu.Lock()
@@ -199,20 +235,26 @@
 	if err := c.enterRead(ctx); err != nil {
 		return kv.Page{}, err
 	}
-	c.store.mu.Lock()
-	defer c.store.mu.Unlock()
+	page := c.store.page(prefix, after)
+	return page, c.store.carry(ctx, len(page.Items))
+}
+
+// page returns the items after a key.
+func (s *Store) page(prefix, after string) kv.Page {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var keys []string
-	for key := range c.store.items {
+	for key := range s.items {
 		if strings.HasPrefix(key, prefix) && key > after {
 			keys = append(keys, key)
 		}
 	}
 	slices.Sort(keys)
-	page := kv.Page{Revision: c.store.revision, More: len(keys) > pageSize}
+	page := kv.Page{Revision: s.revision, More: len(keys) > pageSize}
 	for _, key := range keys[:min(pageSize, len(keys))] {
-		page.Items = append(page.Items, c.store.items[key])
+		page.Items = append(page.Items, s.items[key])
 	}
-	return page, nil
+	return page
 }
 
 // RangeStale implements kv.Store. It reads what is in force: that it may be old need not show.
--- a/internal/membership/readers.go
+++ b/internal/membership/readers.go
@@ -20,6 +20,10 @@
 // after a second at most.
 const readerSilentAfter = 1300 * time.Millisecond
 
+// unheardGrace is how long after its own start a VM takes registered VMs for alive that it has not heard yet. Those that
+// lost power with it are up within a few tenths of a second of each other.
+const unheardGrace = 500 * time.Millisecond
+
 // ReaderRank returns the rank of this VM among those that read the store for the zone, from 0, or NoReader. One zone of a
 // region reads for all: the first VM of another zone is in reserve while it hears the reader of a zone before its own.
 func (f *Fleet) ReaderRank() int {
@@ -46,6 +50,7 @@
 			reaching = append(reaching, fleet.VM{Name: h.Name})
 		}
 	}
+	reaching = append(reaching, f.unheard(now)...)
 	if len(reaching) == 0 {
 		reaching = cutOff
 	}
@@ -53,6 +58,20 @@
 	return slices.IndexFunc(ranked[:min(readers, len(ranked))], func(vm fleet.VM) bool { return vm.Name == f.self })
 }
 
+// unheard returns the registered VMs of the zone that may still be starting. The lock is held.
+func (f *Fleet) unheard(now time.Time) []fleet.VM {
+	if now.Sub(f.started) > unheardGrace {
+		return nil
+	}
+	var out []fleet.VM
+	for name, m := range f.registered {
+		if _, isHeard := f.heard[name]; m.Zone == f.zone && !isHeard {
+			out = append(out, fleet.VM{Name: name})
+		}
+	}
+	return out
+}
+
 // hearsEarlierReader reports whether a VM reads the store for the region that stands in a zone before the own one, by
 // name. The lock is held.
 func (f *Fleet) hearsEarlierReader(now time.Time) bool {
--- a/internal/membership/registrar.go
+++ b/internal/membership/registrar.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -16,6 +17,7 @@
 	"github.com/primroseladder/primroseladder/internal/kv"
 	"github.com/primroseladder/primroseladder/internal/logevent"
 	"github.com/primroseladder/primroseladder/internal/periodic"
+	"github.com/primroseladder/primroseladder/internal/placement"
 )
 
 const (
@@ -135,7 +137,7 @@
 }
 
 // key is the one of the VM's registration.
-func (r *Registrar) key() string { return ZonePrefix(r.self.Zone) + r.self.Name }
+func (r *Registrar) key() string { return RegistrationKey(r.self.Zone, r.self.Name) }
 
 // renew extends the lease, or registers anew where there is none. A lease whose registration could not be written, or has
 // been removed, is used for the next try.
@@ -214,11 +216,27 @@
 // ZonePrefix stands before the names of the VMs of an availability zone in the keys of their registrations.
 func ZonePrefix(zone string) string { return registrationPrefix + zone + "/" }
 
+// RegistrationKey returns the key of a VM's registration. The keys of an availability zone are in the order in which its
+// VMs read the store, the first of them last, so that a VM which starts finds those in the end of the range.
+func RegistrationKey(zone, name string) string {
+	return fmt.Sprintf("%s%04x/%s", ZonePrefix(zone), placement.Position(zone, name)>>positionShift, name)
+}
+
+// positionShift leaves the four hexadecimal digits of a position that stand in a key. VMs that share them are sorted by
+// name there, which is no more than a wrong order of two.
+const positionShift = 48
+
+// FirstReadersAfter returns the key after which those eighth of a zone's registrations stand that read the store first.
+func FirstReadersAfter(zone string) string { return ZonePrefix(zone) + "e" }
+
 // VMName returns the VM whose registration the key holds.
 func VMName(key string) (name string, ok bool) {
 	rest, ok := strings.CutPrefix(key, registrationPrefix)
-	_, name, hasZone := strings.Cut(rest, "/")
-	return name, ok && hasZone
+	parts := strings.Split(rest, "/")
+	if !ok || len(parts) != 3 {
+		return "", false
+	}
+	return parts[2], true
 }
 
 // DecodeRegistration decodes the registration of a VM.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -40,9 +40,17 @@
 	// settleWait is how long a VM listens for its neighbours before it decides whether to read the whole store. They answer
 	// its first heartbeat within a few milliseconds.
 	settleWait = 60 * time.Millisecond
-	// firstCopyPatience is how long a VM that starts waits for another VM's copy before it reads the whole store itself. Up
-	// to half of it is added at random. A copy spreads over a zone of 75 VMs in about a second.
+	// firstCopyPatience is how long a VM that starts waits for the copy of a VM that has one before it reads the whole store
+	// itself. Up to half of it is added at random. A copy spreads over a zone of 75 VMs in about a second.
 	firstCopyPatience = 2 * time.Second
+	// readersPatience is how many times as long it waits while none has one: the readers of the zone, which it hears, are at it
+	// or have failed, and those that failed say so. The users want service within 15 s of a return.
+	readersPatience = 3
+	// reserveReadsAfter is how long the reader in reserve leaves the first read of the whole store to the reader.
+	reserveReadsAfter = 700 * time.Millisecond
+	// fewNeighbours is how many registrations a zone has at least whose first readers a VM meets alone. Small zones are met
+	// whole, so that the VM knows all who serve.
+	fewNeighbours = 4
 	// cutOffRetry is the pause between calls of a VM that the store has turned away while others read it. Up to half of
 	// it is added at random.
 	cutOffRetry = 2 * time.Second
@@ -80,9 +88,13 @@
 	Fetcher    Fetcher
 	// ZonePrefix stands before the keys under which the VMs of the availability zone are registered.
 	ZonePrefix string
+	// FirstReadersAfter is the key after which the registrations of those stand that read the store first: an eighth of them.
+	FirstReadersAfter string
 	// Registered is closed once this VM is registered itself.
 	Registered <-chan struct{}
-	// IsResumed reports whether this VM and its neighbours were registered before their start.
+	// IsFirstStart tells that no VM of the fleet has been registered before.
+	IsFirstStart bool
+	// IsResumed reports whether this VM and its neighbours were registered before their start, and still are.
 	IsResumed func() bool
 	// Changed is called when the state that others go by has changed. It tells them.
 	Changed func()
@@ -101,8 +113,10 @@
 	whole wholeRead
 	// nextTry is when a VM that is cut off calls the store again.
 	nextTry time.Time
-	// patientUntil is until when a VM without a copy waits for another VM's.
-	patientUntil time.Time
+	// met is when the VM has met its neighbours, and hadSource when it first heard one with a copy.
+	met, hadSource time.Time
+	// patience is how long a VM without a copy waits for another VM's.
+	patience time.Duration
 }
 
 // New returns a mirror that fills the copy.
@@ -141,40 +155,67 @@
 
 // meetNeighbours makes the VMs of the zone known to each other, so that most of those that start can take another VM's
 // copy: the whole store, read by each VM of a large zone, is more than the links between regions carry. The VM registers
-// first, so that of two that start together one finds the other.
+// first, so that of two that start together one finds the other. A VM that is turned away stays at it: without neighbours
+// it would take itself for the only one and read the whole.
 func (m *Mirror) meetNeighbours(ctx context.Context) {
 	periodic.Await(ctx, m.Registered, registrationWait)
-	if ctx.Err() != nil {
-		return
+	for ctx.Err() == nil && m.Copy.Revision() == 0 {
+		items, err := m.readNeighbours(ctx)
+		if err == nil {
+			m.Copy.Introduce(items)
+			break
+		}
+		m.noteFailure(err)
+		periodic.Pause(ctx, m.nextRetry())
 	}
+	m.met = time.Now()
+	m.patience = firstCopyPatience + rand.N(firstCopyPatience/2)
+	m.Changed()
+	periodic.Pause(ctx, settleWait)
+}
+
+// readNeighbours reads the registrations of the zone. In a large zone whose VMs were registered before, those of the first
+// readers will do: all VMs of a region that start together read them over the same link.
+func (m *Mirror) readNeighbours(ctx context.Context) ([]kv.Item, error) {
 	read := m.Store.Range
 	if m.IsResumed() {
 		read = m.Store.RangeStale
 	}
-	for after, more := "", true; more; {
-		page, err := read(ctx, m.ZonePrefix, after)
+	if !m.IsFirstStart {
+		first, err := readRange(ctx, read, m.ZonePrefix, m.FirstReadersAfter)
+		if err != nil || len(first) >= fewNeighbours {
+			return first, err
+		}
+	}
+	return readRange(ctx, read, m.ZonePrefix, "")
+}
+
+// readRange reads all pages of a range.
+func readRange(
+	ctx context.Context, read func(ctx context.Context, prefix, after string) (kv.Page, error), prefix, after string,
+) ([]kv.Item, error) {
+	var items []kv.Item
+	for {
+		page, err := read(ctx, prefix, after)
 		if err != nil {
-			logevent.StoreUnreachable.Log(m.Log).Uint64("revision", 0).Err(err).Send()
-			return
+			return nil, err
 		}
-		m.Copy.Introduce(page.Items)
-		if more = page.More && len(page.Items) > 0; more {
-			after = page.Items[len(page.Items)-1].Key
+		items = append(items, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return items, nil
 		}
+		after = page.Items[len(page.Items)-1].Key
 	}
-	m.Changed()
-	m.patientUntil = time.Now().Add(firstCopyPatience + rand.N(firstCopyPatience/2))
-	periodic.Pause(ctx, settleWait)
 }
 
 // mustRead reports whether this VM calls the store itself.
 func (m *Mirror) mustRead(now time.Time) bool {
 	rank := m.Neighbours.ReaderRank()
 	switch {
-	case m.Copy.Revision() == 0:
-		return rank >= 0 || now.After(m.patientUntil)
 	case rank == 0:
 		return true
+	case m.Copy.Revision() == 0:
+		return rank > 0 && now.Sub(m.met) > reserveReadsAfter || m.isOutOfPatience(now)
 	case rank > 0:
 		return m.age(now) > reserveAfter
 	case m.isCutOff.Load():
@@ -184,6 +225,18 @@
 	}
 }
 
+// isOutOfPatience reports whether a VM without a copy has waited long enough for another VM's.
+func (m *Mirror) isOutOfPatience(now time.Time) bool {
+	hasSource := slices.ContainsFunc(m.Neighbours.Sources(), func(s Source) bool { return s.Revision > 0 })
+	if hasSource && m.hadSource.IsZero() {
+		m.hadSource = now
+	}
+	if m.hadSource.IsZero() {
+		return now.Sub(m.met) > readersPatience*m.patience
+	}
+	return now.Sub(m.hadSource) > m.patience
+}
+
 // age returns the age of the copy. Other VMs that have no more changes than this one tell that it was complete later.
 func (m *Mirror) age(now time.Time) time.Duration {
 	for _, s := range m.Neighbours.Sources() {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -29,6 +29,8 @@
 	zone string
 	// stop ends it without notice.
 	stop context.CancelFunc
+	// isUp tells that it has started.
+	isUp atomic.Bool
 	// toldAsReader tells that it last told other zones that it reads the store.
 	toldAsReader atomic.Bool
 	client       *kvtest.Client
@@ -49,8 +51,11 @@
 	for _, i := range items {
 		if i.Deleted {
 			delete(v.values, i.Key)
-		} else {
-			v.values[i.Key] = string(i.Value)
+			continue
+		}
+		v.values[i.Key] = string(i.Value)
+		if name, ok := membership.VMName(i.Key); ok {
+			v.fleet.Register(membership.Member{Name: name, Zone: string(i.Value), Region: "r"})
 		}
 	}
 }
@@ -67,19 +72,22 @@
 	vms   []*vm
 	// zones is how many zones the VMs are in; 0 stands for one.
 	zones int
-	// needsRegistration tells that a VM sends heartbeats only to those whose registrations its copy holds.
+	// needsRegistration tells that a VM sends heartbeats only to those whose registrations it has read, and to those that it
+	// hears.
 	needsRegistration bool
+	// isRestart tells that the VMs go on with their registrations.
+	isRestart bool
+	// startsWithin is the time over which the VMs start, one after the other; 0 stands for all at once.
+	startsWithin time.Duration
 	// wholeCopyTime is how long the whole copy takes over the link of the VM that gives it, alone on the link.
 	wholeCopyTime time.Duration
 }
 
-// registration is the key of a VM's registration.
-func registration(name string) string { return "peers/" + name }
-
-// putRegistrations leaves the registrations of a zone in the store, as a loss of power does.
-func putRegistrations(store *kvtest.Store, size int) {
+// putRegistrations leaves the registrations of the VMs in the store, as a loss of power does.
+func (z *zone) putRegistrations(size int) {
 	for n := range size {
-		store.Put(registration(fmt.Sprintf("vm-%d", n)), "1")
+		m := z.member(n)
+		z.store.Put(membership.RegistrationKey(m.Zone, m.Name), m.Zone)
 	}
 }
 
@@ -130,6 +138,9 @@
 	return z
 }
 
+// startStep is the distance, in the order of their numbers, between VMs that start one after the other.
+const startStep = 7
+
 func (z *zone) start(ctx context.Context, size int) {
 	store := z.store
 	registered := make(chan struct{})
@@ -140,7 +151,7 @@
 		v := &vm{name: self.Name, zone: self.Zone, client: store.Client(), values: map[string]string{}}
 		v.fleet = membership.New(self, regions, zerolog.Nop())
 		for other := range size {
-			if z.zones > 1 {
+			if z.zones > 1 && !z.needsRegistration {
 				v.fleet.Register(z.member(other))
 			}
 		}
@@ -151,17 +162,20 @@
 			z.tellHeads(v)
 		}
 		v.mirror = mirror.New(mirror.Options{
-			Store: v.client, Copy: v.copied, Neighbours: neighbours{v.fleet}, Fetcher: z, ZonePrefix: registration(""),
-			Registered: registered, IsResumed: func() bool { return false },
+			Store: v.client, Copy: v.copied, Neighbours: neighbours{v.fleet}, Fetcher: z, ZonePrefix: membership.ZonePrefix(v.zone),
+			FirstReadersAfter: membership.FirstReadersAfter(v.zone),
+			Registered:        registered, IsResumed: func() bool { return z.isRestart },
 			Changed: beat, Confirmed: func() { z.tellHeads(v) }, Log: zerolog.Nop(),
 		})
 		z.vms = append(z.vms, v)
 	}
-	for _, v := range z.vms {
+	for n, v := range z.vms {
 		ctx, stop := context.WithCancel(ctx)
 		v.stop = stop
-		go v.mirror.Run(ctx)
 		go func() {
+			time.Sleep(z.startsWithin * time.Duration(n*startStep%size) / time.Duration(size))
+			v.isUp.Store(true)
+			go v.mirror.Run(ctx)
 			for ctx.Err() == nil {
 				z.beat(v)
 				time.Sleep(membership.HeartbeatInterval)
@@ -201,11 +215,12 @@
 func (z *zone) beat(from *vm) {
 	now := time.Now()
 	self := from.describe()
+	known := map[string]bool{from.name: true}
+	for _, m := range from.fleet.Neighbours() {
+		known[m.Name] = true
+	}
 	for _, v := range z.vms {
-		if v.zone != from.zone {
-			continue
-		}
-		if v == from || !z.needsRegistration || from.value(registration(v.name)) != "" {
+		if v.isUp.Load() && v.zone == from.zone && (!z.needsRegistration || known[v.name]) {
 			v.fleet.Hear(self, now)
 		}
 	}
@@ -386,12 +401,12 @@
 		defer cancel()
 		store := kvtest.New()
 		store.Put("config", "1")
-		putRegistrations(store, size)
+		z := &zone{store: store, needsRegistration: true}
+		z.putRegistrations(size)
 		for n := range servers {
 			store.Put(fmt.Sprintf("servers/%d", n), "1")
 		}
 		store.SetReadLimit(readLimit)
-		z := &zone{store: store, needsRegistration: true}
 		z.start(ctx, size)
 		time.Sleep(inForce)
 		qt.Check(t, z.lacking("servers/7", "1"), qt.HasLen, 0)
