Heartbeats of large zones go to three monitors, which report a VM that falls silent

Cause: each VM sent four heartbeats a second to all others of its zone: with the 153 VMs of a zone at the target 180 KB/s each way, 45 times the 4 KB/s that a VM may spend on control (docs/CAPACITY.md, what breaks first); at 300 VMs the fleet's bytes grew with the square of a zone. Change: zones of up to 32 VMs stay as they are. In larger ones the VMs stand in a ring, by the position in which they read the store. Each sends its heartbeats to the next three, and to each other one every 15 s. A monitor that misses heartbeats for 0.8 s tells all, three times; VMs that take over from monitors which fell silent too need 0.55 s. A VM that hears that it was reported tells all that it lives. What others go by (leaving, cut off, without configuration, behind, a rate that changed by a fifth of the VM's capacity) is told to all at once and twice more. The reader of a zone tells all, since others go by the age of its copy. Fields of heartbeats and registrations have short names. Not taken: rumours in each heartbeat (to refresh 153 VMs within 0.8 s takes 14 KB/s).

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -20,7 +20,7 @@
 const (
 	// HeartbeatInterval is the time between two heartbeats to each VM of the availability zone.
 	HeartbeatInterval = 250 * time.Millisecond
-	// silentAfter is how long a VM may be silent: three heartbeats, one of which may be lost.
+	// silentAfter is how long a VM may be silent towards its monitors: three heartbeats, one of which may be lost.
 	silentAfter = 800 * time.Millisecond
 	// forgetAfter is how long a silent VM is remembered that is not registered. Leases end well before.
 	forgetAfter = 30 * time.Second
@@ -28,31 +28,32 @@
 	settleTime = time.Second
 )
 
-// Member is what a VM tells of itself.
+// Member is what a VM tells of itself, in heartbeats and in its registration. Fields have short names there: each VM sends
+// dozens of heartbeats a second.
 type Member struct {
-	Name   string
-	Zone   string
-	Region string
+	Name   string `json:"n"`
+	Zone   string `json:"z"`
+	Region string `json:"r"`
 	// CallerAddress is where callers connect.
-	CallerAddress string
+	CallerAddress string `json:"c"`
 	// PeerAddress is where other VMs send datagrams.
-	PeerAddress string
+	PeerAddress string `json:"p"`
 	// IsLeaving tells that the VM takes no new callers.
-	IsLeaving bool
+	IsLeaving bool `json:"l,omitempty"`
 	// IsCutOff tells that the VM's last call to the store failed.
-	IsCutOff bool
+	IsCutOff bool `json:"o,omitempty"`
 	// IsReader tells that the VM reads the store for its region.
-	IsReader bool `json:",omitempty"`
+	IsReader bool `json:"s,omitempty"`
 	// IsWithoutConfig tells that the VM has no configuration yet.
-	IsWithoutConfig bool
+	IsWithoutConfig bool `json:"w,omitempty"`
 	// AgeMS is how many milliseconds ago the VM's copy of the store was last known to be complete.
-	AgeMS int64
+	AgeMS int64 `json:"a,omitempty"`
 	// Revision is the store's revision up to which the VM's copy is complete.
-	Revision uint64
+	Revision uint64 `json:"v,omitempty"`
 	// Capacity is how many requests a second the VM can take.
-	Capacity float64
+	Capacity float64 `json:"k,omitempty"`
 	// Rates are how many requests a second the VM takes, by host.
-	Rates map[string]float64 `json:",omitempty"`
+	Rates map[string]float64 `json:"q,omitempty"`
 }
 
 // behindAfter is the age of a copy of the store from which on callers are sent to other VMs where there are any.
@@ -77,12 +78,20 @@
 	heard map[string]heartbeat
 	// readers are the VMs of other zones of the region that have told that they read the store.
 	readers map[string]heartbeat
+	watch   watch
+	// reports are the silent VMs that this one still has to report, with how often.
+	reports map[string]int
+	// nextTurn is where in the list of neighbours the next ones stand that get a heartbeat by turns.
+	nextTurn int
 }
 
 type heartbeat struct {
 	Member
-	at       time.Time
+	at time.Time
+	// isSilent tells that heartbeats are missing, here or at a monitor of the VM.
 	isSilent bool
+	// isReported tells that a monitor has reported it as silent since.
+	isReported bool
 }
 
 // confirmed is when the VM's copy of the store was last known to be complete.
@@ -94,6 +103,7 @@
 		self: self.Name, zone: self.Zone, regions: regions, started: time.Now(), log: log,
 		news:       make(chan struct{}, 1),
 		registered: map[string]Member{}, heard: map[string]heartbeat{}, readers: map[string]heartbeat{},
+		watch: watch{isMesh: true}, reports: map[string]int{},
 	}
 }
 
@@ -111,14 +121,14 @@
 	delete(f.registered, name)
 }
 
-// Hear takes a heartbeat.
-func (f *Fleet) Hear(m Member, now time.Time) {
+// Hear takes a heartbeat. It reports whether the VM was unknown or silent before.
+func (f *Fleet) Hear(m Member, now time.Time) (isNew bool) {
 	f.mu.Lock()
 	senders := f.heard
 	if m.Zone != f.zone {
 		senders = f.readers
 	}
-	old := senders[m.Name]
+	old, isKnown := senders[m.Name]
 	senders[m.Name] = heartbeat{Member: m, at: now}
 	f.mu.Unlock()
 	if old.isSilent {
@@ -130,28 +140,61 @@
 		default:
 		}
 	}
+	return m.Zone == f.zone && (!isKnown || old.isSilent)
 }
 
 // Heard returns a channel that gets a value after another VM has told of a newer copy of the store, or a reader of another
 // zone of its last answer.
 func (f *Fleet) Heard() <-chan struct{} { return f.news }
 
-// Expire notes which VMs have fallen silent, and forgets those that are gone.
-func (f *Fleet) Expire(now time.Time) {
+// Expire notes which VMs have fallen silent, and forgets those that are gone. It returns the silent ones that this VM has to
+// tell the others of, each several times, since a report may be lost on the way.
+func (f *Fleet) Expire(now time.Time) (report []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	maps.DeleteFunc(f.readers, func(_ string, h heartbeat) bool { return now.Sub(h.at) > forgetAfter })
+	f.follow(now)
 	for name, h := range f.heard {
-		if _, isRegistered := f.registered[name]; !isRegistered && now.Sub(h.at) > forgetAfter {
-			delete(f.heard, name)
+		if name == f.self {
 			continue
 		}
-		if !h.isSilent && now.Sub(h.at) > silentAfter {
-			h.isSilent = true
-			f.heard[name] = h
-			logevent.VMSilent.Log(f.log).Str("neighbour", name).Dur("silent_for", now.Sub(h.at)).Send()
+		isOverdue, isOwn := f.isOverdue(name, h, now)
+		if !h.isSilent && isOverdue {
+			f.silence(name, h, now)
+			if isOwn {
+				f.reports[name] = reportRepeats
+			}
+		}
+		if _, isRegistered := f.registered[name]; f.heard[name].isSilent && !isRegistered && now.Sub(h.at) > forgetAfter {
+			delete(f.heard, name)
+		}
+	}
+	for name, left := range f.reports {
+		if left == 0 || !f.heard[name].isSilent {
+			delete(f.reports, name)
+			continue
 		}
+		f.reports[name]--
+		report = append(report, name)
+	}
+	return report
+}
+
+// silence notes that a VM has fallen silent. The lock is held.
+func (f *Fleet) silence(name string, h heartbeat, now time.Time) {
+	h.isSilent = true
+	f.heard[name] = h
+	logevent.VMSilent.Log(f.log).Str("neighbour", name).Dur("silent_for", now.Sub(h.at)).Send()
+}
+
+// isAlive reports whether a VM of the zone is taken for alive. Between two calls of Expire the silence of those whose
+// heartbeats all come here is seen as well. The lock is held.
+func (f *Fleet) isAlive(h heartbeat, now time.Time) bool {
+	if h.Name == f.self {
+		return now.Sub(h.at) <= silentAfter
 	}
+	isOverdue, _ := f.isOverdue(h.Name, h, now)
+	return !h.isSilent && !isOverdue
 }
 
 // Neighbours returns the other known VMs of the availability zone, silent ones included, by name.
--- /dev/null
+++ b/internal/membership/monitors.go
@@ -0,0 +1,194 @@
+package membership
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/primroseladder/primroseladder/internal/placement"
+)
+
+// In a small zone each VM sends its heartbeats to all others. In a large one the VMs stand in a ring, and each sends them to the
+// next few, its monitors, which tell all others when it falls silent: a VM's heartbeats then do not grow with the zone. Views of
+// the ring differ for moments. A VM that is wrongly reported as silent hears of it, and tells all that it lives.
+const (
+	// meshSize is the largest zone in which every VM is a monitor of every other.
+	meshSize = 32
+	// meshMargin is how many VMs above meshSize still get all heartbeats, so that VMs that count a few less do not miss them.
+	meshMargin = 8
+	// monitorCount is how many VMs watch each VM of a large zone. All of them fail together with it in one loss of 1,000 where a
+	// tenth of the zone fails; those that take their place find it out then.
+	monitorCount = 3
+	// takeoverAfter is how long a VM may be silent towards a new monitor: the reports that made it one reach the VM as well,
+	// and its next heartbeat but one comes within that time.
+	takeoverAfter = 550 * time.Millisecond
+	// reportRepeats is how often a monitor reports a silent VM, with each of its next heartbeats: a VM that
+	// misses all of them would name a lost one to callers until three refreshes are missing.
+	reportRepeats = 3
+	// refreshInterval is the time in which each VM of a large zone hears from each other one at least.
+	refreshInterval = 15 * time.Second
+)
+
+// ring is the order of the VMs of a zone in which each has the next ones as monitors.
+type ring []string
+
+func newRing(zone string, names []string) ring {
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(placement.Position(zone, a), placement.Position(zone, b)), cmp.Compare(a, b))
+	})
+	return names
+}
+
+// after returns the n VMs that follow one.
+func (r ring) after(name string, n int) []string { return r.neighbours(name, n, 1) }
+
+// before returns the n VMs that stand before one.
+func (r ring) before(name string, n int) []string { return r.neighbours(name, n, -1) }
+
+func (r ring) neighbours(name string, n, step int) []string {
+	at := slices.Index(r, name)
+	if at < 0 {
+		return nil
+	}
+	var out []string
+	for i := 1; i <= min(n, len(r)-1); i++ {
+		out = append(out, r[(at+i*step+i*len(r))%len(r)])
+	}
+	return out
+}
+
+// watch tells how this VM judges the silence of the others.
+type watch struct {
+	// isMesh tells that all VMs send their heartbeats to this one.
+	isMesh bool
+	// meshSince is when that began.
+	meshSince time.Time
+	// since tells of the VMs that this one is a monitor of from when on it is.
+	since map[string]time.Time
+}
+
+// follow brings the watch up to date with the VMs that are taken for alive. The lock is held.
+func (f *Fleet) follow(now time.Time) {
+	names := f.living()
+	wasMesh := f.watch.isMesh
+	f.watch.isMesh = len(names) <= meshSize
+	if f.watch.isMesh && !wasMesh {
+		f.watch.meshSince = now
+	}
+	since := map[string]time.Time{}
+	for _, name := range newRing(f.zone, names).before(f.self, monitorCount) {
+		since[name] = now
+		if from, found := f.watch.since[name]; found {
+			since[name] = from
+		}
+	}
+	f.watch.since = since
+}
+
+// living returns the names of the VMs of the zone that are taken for alive, this one included. The lock is held.
+func (f *Fleet) living() []string {
+	names := []string{f.self}
+	for name, h := range f.heard {
+		if name != f.self && !h.isSilent {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// isOverdue reports whether a heartbeat that this VM should have had is missing. isOwn tells that this VM is a monitor of the
+// other one, so that it has to tell all. The lock is held.
+func (f *Fleet) isOverdue(name string, h heartbeat, now time.Time) (isOverdue, isOwn bool) {
+	expected, isMonitor := f.watch.since[name]
+	limit := silentAfter
+	switch {
+	case f.watch.isMesh:
+		expected = f.watch.meshSince
+	case !isMonitor && h.isReported:
+		return true, false
+	case !isMonitor:
+		limit = 3 * refreshInterval
+	}
+	last := h.at
+	if expected.After(last) {
+		last, limit = expected, takeoverAfter
+	}
+	return now.Sub(last) > limit, isMonitor && !f.watch.isMesh
+}
+
+// Targets returns the VMs that get this VM's regular heartbeat: all others of a small zone, and in a large one its monitors and,
+// by turns, some of the others. The VM that reads the store tells all, since they go by the age of its copy.
+func (f *Fleet) Targets(isReader bool) []Member {
+	all := f.Neighbours()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	names := f.living()
+	if isReader || len(names) <= meshSize+meshMargin {
+		return all
+	}
+	monitors := newRing(f.zone, names).after(f.self, monitorCount)
+	turn := int(int64(len(all)) * int64(HeartbeatInterval) / int64(refreshInterval))
+	var out []Member
+	for i, m := range all {
+		isTurn := (i-f.nextTurn+len(all))%len(all) <= turn
+		if isTurn || slices.Contains(monitors, m.Name) {
+			out = append(out, m)
+		}
+	}
+	f.nextTurn = (f.nextTurn + turn + 1) % len(all)
+	return out
+}
+
+// IsLarge reports whether the zone is one in which regular heartbeats go to a few VMs, so that the others have to be told of
+// what changes.
+func (f *Fleet) IsLarge() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.living()) > meshSize+meshMargin
+}
+
+// HearSilent takes a monitor's report that a VM has fallen silent. It reports whether that is this VM itself, which then
+// tells all that it lives.
+func (f *Fleet) HearSilent(name string, now time.Time) (isSelf bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if name == f.self {
+		return true
+	}
+	h, known := f.heard[name]
+	_, isMonitor := f.watch.since[name]
+	if !known || h.isSilent || now.Sub(h.at) <= silentAfter {
+		return false
+	}
+	h.isReported = true
+	f.heard[name] = h
+	// A monitor goes by what it hears itself, so that all of them report: a report may be lost on the way.
+	if !isMonitor {
+		f.silence(name, h, now)
+	}
+	return false
+}
+
+// materialShare is the part of what a VM can take by which the rate of a host must change for the others to be told: the size of
+// a host's group follows from the sum of its rates.
+const materialShare = 0.2
+
+// DiffersFrom reports whether a VM has changed so much that all others of its zone have to know at once.
+func (m *Member) DiffersFrom(told *Member) bool {
+	if m.IsLeaving != told.IsLeaving || m.IsCutOff != told.IsCutOff || m.IsReader != told.IsReader || m.isBehind() != told.isBehind() {
+		return true
+	}
+	limit := max(materialShare*m.Capacity, 1)
+	for host := range told.Rates {
+		if math.Abs(m.Rates[host]-told.Rates[host]) > limit {
+			return true
+		}
+	}
+	for host, rate := range m.Rates {
+		if rate-told.Rates[host] > limit {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/membership/readers.go
+++ b/internal/membership/readers.go
@@ -43,7 +43,7 @@
 	var reaching, cutOff []fleet.VM
 	for _, h := range f.heard {
 		switch {
-		case now.Sub(h.at) > silentAfter || h.IsLeaving:
+		case !f.isAlive(h, now) || h.IsLeaving:
 		case h.IsCutOff:
 			cutOff = append(cutOff, fleet.VM{Name: h.Name})
 		default:
@@ -116,7 +116,7 @@
 	var out []Source
 	now := time.Now()
 	for _, h := range f.heard {
-		if h.Name != f.self && now.Sub(h.at) <= silentAfter {
+		if h.Name != f.self && f.isAlive(h, now) {
 			out = append(out, Source{Member: h.Member, Confirmed: h.confirmed()})
 		}
 	}
--- a/internal/membership/serving.go
+++ b/internal/membership/serving.go
@@ -69,7 +69,7 @@
 	var out []Member
 	heardAny := false
 	for _, h := range f.heard {
-		if now.Sub(h.at) <= silentAfter {
+		if f.isAlive(h, now) {
 			out = append(out, h.Member)
 			heardAny = heardAny || h.Name != f.self
 		}
@@ -77,7 +77,7 @@
 	trustsHeartbeats := heardAny && now.Sub(f.started) > settleTime
 	for _, m := range f.registered {
 		h, isHeard := f.heard[m.Name]
-		if isHeard && now.Sub(h.at) <= silentAfter {
+		if isHeard && f.isAlive(h, now) {
 			continue
 		}
 		if m.Zone == f.zone && (trustsHeartbeats || m.Name == f.self) {
--- a/internal/vmpeer/codec.go
+++ b/internal/vmpeer/codec.go
@@ -1,6 +1,7 @@
-// Package vmpeer carries datagrams between VMs: heartbeats inside a zone, evidence on backend servers inside a region, turns
-// of backend servers between regions, and notes of requests that break backend servers. Each datagram stands alone and a later one repeats or replaces it, so a lost one costs
-// accuracy only; datagrams that cannot be understood are logged and dropped.
+// Package vmpeer carries datagrams between VMs: heartbeats and reports of silent VMs inside a zone, evidence on backend
+// servers inside a region, turns of backend servers between regions, and notes of requests that break backend servers. Each
+// datagram stands alone and a later one repeats or replaces it, so a lost one costs accuracy only; datagrams that cannot be
+// understood are logged and dropped.
 package vmpeer
 
 import (
@@ -24,6 +25,7 @@
 	kindEvidence  kind = 2
 	kindCrash     kind = 3
 	kindTurn      kind = 4
+	kindSilent    kind = 5
 )
 
 // noOutcome stands in a datagram for the start of a request, and trialFlag marks the outcome of a trial.
@@ -54,6 +56,9 @@
 	return m, err
 }
 
+// encodeSilent writes a monitor's report that a VM has fallen silent.
+func encodeSilent(vm string) []byte { return append([]byte{byte(kindSilent)}, vm...) }
+
 // encodeTurn writes evidence for other regions.
 func encodeTurn(e dispatch.Evidence) []byte {
 	out := encodeEvidence(e)
--- a/internal/vmpeer/peer.go
+++ b/internal/vmpeer/peer.go
@@ -22,6 +22,8 @@
 	maxDatagram = 2048
 	// correspondentLifetime is how long a VM that sent evidence on a service gets evidence in return.
 	correspondentLifetime = 3 * time.Second
+	// announceRepeats is how many regular heartbeats after a change go to all VMs of the zone, since one may be lost.
+	announceRepeats = 2
 )
 
 // Receiver takes what other VMs send.
@@ -39,9 +41,16 @@
 	Distant(service string) []string
 }
 
+// Conn is a socket for datagrams, as *net.UDPConn is one.
+type Conn interface {
+	ReadFromUDP(buffer []byte) (int, *net.UDPAddr, error)
+	WriteToUDPAddrPort(datagram []byte, to netip.AddrPort) (int, error)
+	Close() error
+}
+
 // Peer sends and receives datagrams.
 type Peer struct {
-	conn   *net.UDPConn
+	conn   Conn
 	fleet  *membership.Fleet
 	groups Groups
 	// self tells how the VM is.
@@ -49,6 +58,10 @@
 	log  zerolog.Logger
 	// isReader tells that the heads of other zones were last told that this VM reads the store.
 	isReader atomic.Bool
+	// told is what all VMs of the zone were last told of this one.
+	told atomic.Pointer[membership.Member]
+	// repeats is how many of the next regular heartbeats go to all.
+	repeats atomic.Int32
 
 	mu sync.Mutex
 	// correspondents are the VMs that lately sent evidence, by service and address.
@@ -65,10 +78,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Peer{
-		conn: conn, fleet: f, groups: g, log: log,
-		correspondents: map[string]map[string]time.Time{},
-	}, nil
+	return New(conn, f, g, log), nil
+}
+
+// New returns a peer that uses an open socket.
+func New(conn Conn, f *membership.Fleet, g Groups, log zerolog.Logger) *Peer {
+	return &Peer{conn: conn, fleet: f, groups: g, log: log, correspondents: map[string]map[string]time.Time{}}
 }
 
 // Introduce sets how the VM tells of itself. It must be called before heartbeats are sent or received.
@@ -100,10 +115,14 @@
 	case kindHeartbeat:
 		m, err := decodeHeartbeat(body)
 		if err == nil {
-			p.fleet.Hear(m, time.Now())
-			p.greet(m)
+			p.greet(m, p.fleet.Hear(m, time.Now()))
 		}
 		return err
+	case kindSilent:
+		if p.fleet.HearSilent(string(body), time.Now()) {
+			p.SendHeartbeat()
+		}
+		return nil
 	case kindEvidence:
 		e, err := decodeEvidence(body)
 		if err == nil {
@@ -185,36 +204,75 @@
 	}
 }
 
-// greet answers the heartbeat of a VM that has no copy of the store yet with one of this VM, if it has one to give.
-func (p *Peer) greet(m membership.Member) {
-	if m.Revision > 0 {
+// greet answers the heartbeat of a VM that has no copy of the store yet with one of this VM, if it has one to give. In a
+// large zone, whose VMs do not hear each other regularly, it answers each that was unknown or silent, and tells one that was
+// silent that it has to tell the others.
+func (p *Peer) greet(m membership.Member, isNew bool) {
+	isNew = isNew && p.fleet.IsLarge()
+	if !isNew && m.Revision > 0 {
 		return
 	}
 	self := p.self()
-	if self.Revision == 0 || self.Name == m.Name {
+	if self.Name == m.Name || !isNew && self.Revision == 0 {
 		return
 	}
+	if isNew {
+		p.send(m.PeerAddress, encodeSilent(m.Name))
+	}
 	p.sendHeartbeat(self, []membership.Member{m})
 }
 
-// SendHeartbeats sends heartbeats to the VMs of the zone until ctx ends.
+// SendHeartbeats sends heartbeats to the VMs of the zone that expect them until ctx ends, and tells all of those that have
+// fallen silent.
 func (p *Peer) SendHeartbeats(ctx context.Context) {
 	ticker := time.NewTicker(membership.HeartbeatInterval)
 	defer ticker.Stop()
+	p.SendHeartbeat()
 	for {
-		p.SendHeartbeat()
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			p.fleet.Expire(now)
+			p.report(p.fleet.Expire(now))
+			p.sendRegularHeartbeat()
 		}
 	}
 }
 
-// SendHeartbeat tells the VMs of the zone, and the VM itself, how the VM is.
-func (p *Peer) SendHeartbeat() {
+// report tells the VMs of the zone, the silent ones included, which have fallen silent.
+func (p *Peer) report(silent []string) {
+	for _, name := range silent {
+		datagram := encodeSilent(name)
+		for _, m := range p.fleet.Neighbours() {
+			p.send(m.PeerAddress, datagram)
+		}
+	}
+}
+
+// sendRegularHeartbeat tells the VMs that expect it how the VM is, or all where it has changed.
+func (p *Peer) sendRegularHeartbeat() {
 	self := p.self()
+	if told := p.told.Load(); told == nil || self.DiffersFrom(told) {
+		p.SendHeartbeat()
+		return
+	}
+	if p.repeats.Load() > 0 {
+		p.repeats.Add(-1)
+		p.tellAll(self)
+		return
+	}
+	p.fleet.Hear(self, time.Now())
+	p.sendHeartbeat(self, p.fleet.Targets(self.IsReader))
+}
+
+// SendHeartbeat tells all VMs of the zone, and the VM itself, how the VM is, and again with the next regular heartbeats.
+func (p *Peer) SendHeartbeat() {
+	p.repeats.Store(announceRepeats)
+	p.tellAll(p.self())
+}
+
+func (p *Peer) tellAll(self membership.Member) {
+	p.told.Store(&self)
 	p.fleet.Hear(self, time.Now())
 	p.sendHeartbeat(self, p.fleet.Neighbours())
 }
