--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -175,19 +175,18 @@
 }
 
 // readNeighbours reads the registrations of the zone. In a large zone whose VMs were registered before, those of the first
-// readers will do: all VMs of a region that start together read them over the same link.
+// readers will do, also seconds old: all VMs of a region that start together read them over the same link.
 func (m *Mirror) readNeighbours(ctx context.Context) ([]kv.Item, error) {
-	read := m.Store.Range
-	if m.IsResumed() {
-		read = m.Store.RangeStale
-	}
 	if !m.IsFirstStart {
-		first, err := readRange(ctx, read, m.ZonePrefix, m.FirstReadersAfter)
+		first, err := readRange(ctx, m.Store.RangeStale, m.ZonePrefix, m.FirstReadersAfter)
 		if err != nil || len(first) >= fewNeighbours {
 			return first, err
 		}
 	}
-	return readRange(ctx, read, m.ZonePrefix, "")
+	if m.IsResumed() {
+		return readRange(ctx, m.Store.RangeStale, m.ZonePrefix, "")
+	}
+	return readRange(ctx, m.Store.Range, m.ZonePrefix, "")
 }
 
 // readRange reads all pages of a range.
