Heartbeats of large zones: the first VM of a zone tells all of it, also where it follows the reader of another zone

In a zone whose first VM follows another zone's reader, that VM told its three monitors of new revisions, the others took their copies for old after 1.5 s, and 74 of them called the store, which turned them away. Change: the first VM of each zone tells all of its zone four times a second, whether it reads or follows. Positions in the ring are worked out once a sort.

--- a/internal/membership/monitors.go
+++ b/internal/membership/monitors.go
@@ -34,8 +34,12 @@
 type ring []string
 
 func newRing(zone string, names []string) ring {
+	positions := make(map[string]uint64, len(names))
+	for _, name := range names {
+		positions[name] = placement.Position(zone, name)
+	}
 	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(placement.Position(zone, a), placement.Position(zone, b)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(positions[a], positions[b]), cmp.Compare(a, b))
 	})
 	return names
 }
@@ -118,13 +122,14 @@
 }
 
 // Targets returns the VMs that get this VM's regular heartbeat: all others of a small zone, and in a large one its monitors and,
-// by turns, some of the others. The VM that reads the store tells all, since they go by the age of its copy.
-func (f *Fleet) Targets(isReader bool) []Member {
+// by turns, some of the others. The first VM of a zone, which reads the store or follows the one that does, tells all: they go by
+// the revision and the age of its copy.
+func (f *Fleet) Targets(now time.Time) []Member {
 	all := f.Neighbours()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	names := f.living()
-	if isReader || len(names) <= meshSize+meshMargin {
+	if len(names) <= meshSize+meshMargin || f.zoneRank(now) == 0 {
 		return all
 	}
 	monitors := newRing(f.zone, names).after(f.self, monitorCount)
--- a/internal/vmpeer/peer.go
+++ b/internal/vmpeer/peer.go
@@ -261,8 +261,9 @@
 		p.tellAll(self)
 		return
 	}
-	p.fleet.Hear(self, time.Now())
-	p.sendHeartbeat(self, p.fleet.Targets(self.IsReader))
+	now := time.Now()
+	p.fleet.Hear(self, now)
+	p.sendHeartbeat(self, p.fleet.Targets(now))
 }
 
 // SendHeartbeat tells all VMs of the zone, and the VM itself, how the VM is, and again with the next regular heartbeats.
