Monitors: turns of refreshes stay in the list, small zones keep no ring; a start that was turned away notes its success

Found by reading the change: where the zone shrank, the next turn could stand beyond the list, and one heartbeat went to more VMs than meant. In small zones the ring was sorted four times a second for nothing. A VM whose first read of the registrations failed and then succeeded still counted as cut off, and called the store once more after 2 s. Behaviour of zones up to 96 VMs is unchanged but for that call.

--- a/internal/membership/monitors.go
+++ b/internal/membership/monitors.go
@@ -24,8 +24,8 @@
 	// takeoverAfter is how long a VM may be silent towards a new monitor: the reports that made it one reach the VM as well,
 	// and its next heartbeat but one comes within that time.
 	takeoverAfter = 550 * time.Millisecond
-	// reportRepeats is how often a monitor reports a silent VM, with each of its next heartbeats: a VM that
-	// misses all of them would name a lost one to callers until three refreshes are missing.
+	// reportRepeats is how often a monitor reports a silent VM, once with each of its next heartbeats. A VM that missed all reports
+	// would name the lost one to callers until three refreshes are missing.
 	reportRepeats = 3
 	// refreshInterval is the time in which each VM of a large zone hears from each other one at least.
 	refreshInterval = 15 * time.Second
@@ -69,7 +69,7 @@
 	isMesh bool
 	// meshSince is when that began.
 	meshSince time.Time
-	// since tells of the VMs that this one is a monitor of from when on it is.
+	// since tells, in a large zone, which VMs this one is a monitor of, and from when on.
 	since map[string]time.Time
 }
 
@@ -81,6 +81,10 @@
 	if f.watch.isMesh && !wasMesh {
 		f.watch.meshSince = now
 	}
+	if f.watch.isMesh {
+		f.watch.since = nil
+		return
+	}
 	since := map[string]time.Time{}
 	for _, name := range newRing(f.zone, names).before(f.self, monitorCount) {
 		since[name] = now
@@ -102,8 +106,8 @@
 	return names
 }
 
-// isOverdue reports whether a heartbeat that this VM should have had is missing. isOwn tells that this VM is a monitor of the
-// other one, so that it has to tell all. The lock is held.
+// isOverdue reports whether a heartbeat that this VM should have had is missing, or a monitor has reported so. isOwn tells that
+// this VM is a monitor of the other one itself, so that it has to tell all. The lock is held.
 func (f *Fleet) isOverdue(name string, h heartbeat, now time.Time) (isOverdue, isOwn bool) {
 	expected, isMonitor := f.watch.since[name]
 	limit := silentAfter
@@ -137,15 +141,17 @@
 		return all
 	}
 	monitors := newRing(f.zone, names).after(f.self, monitorCount)
-	turn := int(int64(len(all)) * int64(HeartbeatInterval) / int64(refreshInterval))
+	// turns is how many of the others hear this heartbeat, so that all have heard one after refreshInterval.
+	turns := 1 + int(int64(len(all))*int64(HeartbeatInterval)/int64(refreshInterval))
+	first := f.nextTurn % len(all)
+	f.nextTurn = (first + turns) % len(all)
 	var out []Member
 	for i, m := range all {
-		isTurn := (i-f.nextTurn+len(all))%len(all) <= turn
+		isTurn := (i-first+len(all))%len(all) < turns
 		if isTurn || slices.Contains(monitors, m.Name) {
 			out = append(out, m)
 		}
 	}
-	f.nextTurn = (f.nextTurn + turn + 1) % len(all)
 	return out
 }
 
--- a/internal/membership/registrar.go
+++ b/internal/membership/registrar.go
@@ -222,11 +222,12 @@
 	return fmt.Sprintf("%s%04x/%s", ZonePrefix(zone), placement.Position(zone, name)>>positionShift, name)
 }
 
-// positionShift leaves the four hexadecimal digits of a position that stand in a key. VMs that share them are sorted by
-// name there, which is no more than a wrong order of two.
+// positionShift leaves the first four hexadecimal digits of a position, which stand in the key. VMs that share them may stand in
+// the wrong order there, which does no harm.
 const positionShift = 48
 
-// FirstReadersAfter returns the key after which those eighth of a zone's registrations stand that read the store first.
+// FirstReadersAfter returns the key after which the registrations of a zone's first readers stand. Positions are hexadecimal
+// numbers, so that these are an eighth of all.
 func FirstReadersAfter(zone string) string { return ZonePrefix(zone) + "e" }
 
 // VMName returns the VM whose registration the key holds.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -163,6 +163,7 @@
 		items, err := m.readNeighbours(ctx)
 		if err == nil {
 			m.Copy.Introduce(items)
+			m.noteSuccess()
 			break
 		}
 		m.noteFailure(err)
