callerconn: serve callers' connections with pipelining; a caller that leaves cancels all its requests

Cause: net/http's server reads one byte beyond the request that it runs. Change: package callerconn reads a connection while its requests run. Idempotent requests run side by side, others wait for their turn; answers keep their order; the last answer is the one behind which nothing was started; a lingering close follows. At most 16 requests and 1 MB of bodies wait on a connection. Heads and bodies without end are bounded in size and time. The list of unused connections of the gateway is part of it. Ruled out: a read-ahead wrapper under net/http's server: it cancels, but leaves the order of work and the close as they are.

--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -2,14 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
+	"github.com/primroseladder/primroseladder/internal/callerconn"
+	"github.com/primroseladder/primroseladder/internal/ingress"
 	"github.com/primroseladder/primroseladder/internal/logevent"
 	"github.com/primroseladder/primroseladder/internal/membership"
 	"github.com/primroseladder/primroseladder/internal/peererr"
@@ -34,8 +34,17 @@
 	// idleTimeout is how long an idle connection of a caller is kept open. It exceeds every limit that callers follow, so
 	// that no connection is closed that a caller may still use after a limit was raised.
 	idleTimeout = 75 * time.Second
+	// unusedTimeout is how long a stopping VM waits for the first byte on a connection. Callers send their request when the
+	// handshake ends, and give up on a VM that accepts no connection for a second.
+	unusedTimeout = time.Second
+	// writeTimeout is how long a caller may take to accept an answer.
+	writeTimeout = 30 * time.Second
 	// maxHeaderBytes limits the header of a request before the configured limit is checked.
 	maxHeaderBytes = 64 << 10
+	// maxPending and maxPendingBytes limit the requests of one connection that wait for their answers, and the size of
+	// their bodies.
+	maxPending      = 16
+	maxPendingBytes = 1 << 20
 )
 
 // callerServer serves callers' connections.
@@ -45,19 +54,21 @@
 	registrar *membership.Registrar
 	// announce announces to the other VMs that the state of this VM has changed.
 	announce func()
-	server   *http.Server
-	unused   *unusedConns
+	server   *callerconn.Server
 	log      zerolog.Logger
 }
 
 func newCallerServer(
-	s *LiveSettings, state *State, r *membership.Registrar, handler http.Handler, announce func(), log zerolog.Logger,
+	s *LiveSettings, state *State, r *membership.Registrar, handler *ingress.Handler, announce func(), log zerolog.Logger,
 ) *callerServer {
-	unused := newUnusedConns()
-	return &callerServer{settings: s, state: state, registrar: r, announce: announce, unused: unused, log: log, server: &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: unused.trackState,
-	}}
+	return &callerServer{settings: s, state: state, registrar: r, announce: announce, log: log, server: callerconn.NewServer(
+		callerconn.Options{
+			Handler: handler, MayOverlap: handler.MayOverlap, BodyLimits: handler.BodyLimits, IsClosing: state.IsLeaving,
+			ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, UnusedTimeout: unusedTimeout,
+			WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes, MaxPending: maxPending,
+			MaxPendingBytes: maxPendingBytes, Log: log,
+		},
+	)}
 }
 
 func (c *callerServer) start(context.Context) error {
@@ -65,11 +76,7 @@
 	if err != nil {
 		return peererr.Wrap(err, "listen", c.settings.Get().CallerListen)
 	}
-	go func() {
-		if err := c.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			panic(err)
-		}
-	}()
+	go c.server.Serve(listener)
 	return nil
 }
 
@@ -83,7 +90,6 @@
 	periodic.Pause(ctx, lingerTime)
 	ctx, cancel := context.WithDeadline(ctx, began.Add(c.settings.Get().Grace-graceMargin))
 	defer cancel()
-	go c.unused.closeExpired(ctx)
 	return c.server.Shutdown(ctx)
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/primroseladder/primroseladder/internal/backend"
+	"github.com/primroseladder/primroseladder/internal/callerconn"
 	"github.com/primroseladder/primroseladder/internal/dispatch"
 	"github.com/primroseladder/primroseladder/internal/header"
 	"github.com/primroseladder/primroseladder/internal/logevent"
@@ -41,8 +42,6 @@
 	// awaitTable returns the routes in force, or nil if no configuration is known.
 	awaitTable func(context.Context) *route.Table
 	dispatch   Dispatcher
-	// isClosing reports whether connections must be closed after their response.
-	isClosing func() bool
 	// recordResult is called with the result of each request that was dispatched.
 	recordResult func(service string, r dispatch.Result, took time.Duration)
 	// rates counts the requests of each host.
@@ -51,14 +50,14 @@
 }
 
 // NewHandler returns a Handler. awaitTable returns the routes in force, or nil if no configuration is known; it may wait
-// for the first one. isClosing reports whether connections must be closed after their response. recordResult is called
-// with the service, the result and the duration of each request that was dispatched.
+// for the first one. recordResult is called with the service, the result and the duration of each request that was
+// dispatched.
 func NewHandler(
-	h Headers, awaitTable func(context.Context) *route.Table, d Dispatcher, isClosing func() bool,
+	h Headers, awaitTable func(context.Context) *route.Table, d Dispatcher,
 	recordResult func(string, dispatch.Result, time.Duration), rates *Rates, log zerolog.Logger,
 ) *Handler {
 	return &Handler{
-		headers: h, awaitTable: awaitTable, dispatch: d, isClosing: isClosing, recordResult: recordResult, rates: rates, log: log,
+		headers: h, awaitTable: awaitTable, dispatch: d, recordResult: recordResult, rates: rates, log: log,
 	}
 }
 
@@ -72,10 +71,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrival := time.Now()
-	if h.isClosing() {
-		w.Header().Set("Connection", "close")
-	}
+	arrival := callerconn.Arrival(r.Context())
 	table := h.awaitTable(r.Context())
 	if table == nil {
 		h.refuse(w, r, "no configuration is known", retryAfterNoConfig)
@@ -95,6 +91,33 @@
 	h.respond(w, request, h.dispatch.Do(r.Context(), request))
 }
 
+// BodyLimits returns the maximum size in bytes of the body of a request, and the time within which it must be received.
+func (h *Handler) BodyLimits(r *http.Request) (bytes int64, within time.Duration) {
+	within = defaultBodyTimeout
+	if ms, err := strconv.ParseInt(r.Header.Get(h.headers.DeadlineMS), 10, 64); err == nil && ms >= 0 {
+		within = time.Duration(ms) * time.Millisecond
+	}
+	table := h.awaitTable(r.Context())
+	if table == nil {
+		return 0, within
+	}
+	if target := table.Find(requestHost(r), r.URL.Path); target != nil {
+		within = min(within, target.Timeout)
+	}
+	return table.Config.Limits.MaxBodyBytes, within
+}
+
+// MayOverlap reports whether a request may run before earlier requests of its connection are answered: if it is
+// idempotent. Should the connection close before its turn, its caller sends any other request again as well.
+func (h *Handler) MayOverlap(r *http.Request) bool {
+	table := h.awaitTable(r.Context())
+	if table == nil {
+		return false
+	}
+	target := table.Find(requestHost(r), r.URL.Path)
+	return target != nil && target.Kind == route.Idempotent
+}
+
 // requestHost returns the host of a request without the port.
 func requestHost(r *http.Request) string {
 	if host, _, err := net.SplitHostPort(r.Host); err == nil {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -41,7 +41,7 @@
 }
 
 func serve(t *testing.T, d *scriptedDispatcher, table func(context.Context) *route.Table) string {
-	handler := ingress.NewHandler(headers, table, d, func() bool { return false },
+	handler := ingress.NewHandler(headers, table, d,
 		func(string, dispatch.Result, time.Duration) {}, ingress.NewRates(), zerolog.Nop())
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -65,9 +65,11 @@
 	BackendUnhealthy = Event{1506, zerolog.WarnLevel, "backend server considered unhealthy"}
 	BackendHealthy   = Event{1507, zerolog.InfoLevel, "backend server considered healthy again"}
 
-	RequestRefused  = Event{1601, zerolog.WarnLevel, "request refused without having run"}
-	RequestFailed   = Event{1602, zerolog.WarnLevel, "request ended without an answer of a backend server"}
-	RequestAnswered = Event{1603, zerolog.InfoLevel, "request answered"}
-	AttemptFailed   = Event{1605, zerolog.WarnLevel, "an attempt failed and another one follows"}
-	LinesDropped    = Event{1604, zerolog.WarnLevel, "log lines were dropped to keep the volume bounded"}
+	RequestRefused   = Event{1601, zerolog.WarnLevel, "request refused without having run"}
+	RequestFailed    = Event{1602, zerolog.WarnLevel, "request ended without an answer of a backend server"}
+	RequestAnswered  = Event{1603, zerolog.InfoLevel, "request answered"}
+	AttemptFailed    = Event{1605, zerolog.WarnLevel, "an attempt failed and another one follows"}
+	CallerConnFailed = Event{1606, zerolog.WarnLevel, "a caller's connection could not be accepted or was closed without its answers"}
+	HandlerPanicked  = Event{1607, zerolog.ErrorLevel, "the handling of a request panicked"}
+	LinesDropped     = Event{1604, zerolog.WarnLevel, "log lines were dropped to keep the volume bounded"}
 )
