mirror: large changes spread over a zone in few transfers, compressed

Change: changes of 16 KB or more are served like the full copy: to two VMs at a time, compressed, the others turn to VMs that have them, which announce them at once. A fetch has 400 ms to begin and 2 s to end. A VM that knows of a newer, fresh copy leaves the store alone for 0.7 s. Ruled out: a late reader (it had the version 0.6 s after the acknowledgement); refusal by the decoder (no event 1313).

--- a/internal/mirror/feed.go
+++ b/internal/mirror/feed.go
@@ -3,43 +3,66 @@
 import (
 	"errors"
 	"time"
+
+	"github.com/primroseladder/primroseladder/internal/kv"
 )
 
-// ErrBusy means that the VM is serving its full copy to maxFullTransfers VMs. Its text is sent to the VM that asks.
-var ErrBusy = errors.New("the VM gives its whole copy to others")
+// ErrBusy means that the VM is serving maxLargeTransfers large transfers. Its text is sent to the VM that asks.
+var ErrBusy = errors.New("the VM gives its copy to others")
+
+// largeTransferBytes is the size of the values of a transfer from which it counts as large. A full copy is always large.
+const largeTransferBytes = 16 << 10
 
-// maxFullTransfers is the number of VMs to which a VM serves its full copy at a time. Each VM that has
-// received the copy serves it in turn, so the copy reaches all VMs of a zone sooner with a few transfers at a time. If all
-// took place at once, they would share the link of the first VM: 10 Mbit/s on the smallest.
-const maxFullTransfers = 2
+// maxLargeTransfers is the number of VMs to which a VM serves a large transfer at a time. Each VM that has received the
+// changes serves them in turn, so they reach all VMs of a zone sooner with a few transfers at a time. If all took place at
+// once, they would share the link of the first VM: 10 Mbit/s on the smallest.
+const maxLargeTransfers = 2
 
-// minFullTransferTime is the minimum time for which a full transfer occupies its slot. The socket buffers a small copy
+// minLargeTransferTime is the minimum time for which a large transfer occupies its slot. The socket buffers a small copy
 // at once, and two copies of 37 KB take 60 ms on a link of 10 Mbit/s.
-const minFullTransferTime = 60 * time.Millisecond
+const minLargeTransferTime = 60 * time.Millisecond
 
 // Feed serves a copy to other VMs. It is safe for concurrent use.
 type Feed struct {
-	copy          *Copy
-	fullTransfers chan struct{}
+	copy           *Copy
+	largeTransfers chan struct{}
 }
 
 // NewFeed returns a Feed that serves c.
 func NewFeed(c *Copy) *Feed {
-	return &Feed{copy: c, fullTransfers: make(chan struct{}, maxFullTransfers)}
+	return &Feed{copy: c, largeTransfers: make(chan struct{}, maxLargeTransfers)}
 }
 
-// Serve passes the changes after a revision to send; after 0 that is the full copy. It returns ErrBusy if the full copy
-// is requested while maxFullTransfers of it are in progress.
+// Serve passes the changes after a revision to send; after 0 that is the full copy. It returns ErrBusy if the transfer is
+// large while maxLargeTransfers are in progress.
 func (f *Feed) Serve(after uint64, send func(Changes) error) error {
-	if after > 0 {
-		return send(f.copy.Since(after))
+	changes := f.copy.Since(after)
+	if after > 0 && !changes.IsLarge() {
+		return send(changes)
 	}
 	select {
-	case f.fullTransfers <- struct{}{}:
+	case f.largeTransfers <- struct{}{}:
 		began := time.Now()
-		defer func() { time.AfterFunc(minFullTransferTime-time.Since(began), func() { <-f.fullTransfers }) }()
-		return send(f.copy.Since(after))
+		defer func() { time.AfterFunc(minLargeTransferTime-time.Since(began), func() { <-f.largeTransfers }) }()
+		return send(changes)
 	default:
 		return ErrBusy
 	}
 }
+
+// IsLarge reports whether the changes are too many to be sent to all VMs of a zone at once.
+func (c Changes) IsLarge() bool {
+	size := 0
+	for _, e := range c.Entries {
+		size += len(e.Value)
+	}
+	return size >= largeTransferBytes
+}
+
+func isLarge(items []kv.Item) bool {
+	size := 0
+	for _, i := range items {
+		size += len(i.Value)
+	}
+	return size >= largeTransferBytes
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -31,6 +31,9 @@
 	// confirmed every watchWait and one call, and heartbeats announce this within 250 ms; the reader in reserve has read
 	// before other VMs reach followerReadAge.
 	reserveReadAge = 1300 * time.Millisecond
+	// transferWait is how long a VM whose copy is old leaves the store alone once it knows of a VM with a newer copy.
+	// Large changes take this time to spread over a zone, in which the copies of the others cannot be confirmed.
+	transferWait = 700 * time.Millisecond
 	// retryBase and retryMax bound the delay after a failed call.
 	retryBase = 100 * time.Millisecond
 	retryMax  = 600 * time.Millisecond
@@ -77,8 +80,8 @@
 	Updates() <-chan struct{}
 }
 
-// Fetcher fetches changes from another VM's copy. It returns ErrBusy if that VM is serving its full copy to the maximum
-// number of VMs.
+// Fetcher fetches changes from another VM's copy. It returns ErrBusy if that VM is serving as many large transfers as it
+// may.
 type Fetcher interface {
 	Fetch(ctx context.Context, address string, after uint64) (Changes, error)
 }
@@ -118,6 +121,8 @@
 	nextAttempt time.Time
 	// peersDiscoveredAt is when the VM had discovered its zone peers, and firstSourceAt when it first found one with a copy.
 	peersDiscoveredAt, firstSourceAt time.Time
+	// newerSince is the time since which another VM has been known to have a newer copy; zero if none has.
+	newerSince time.Time
 	// peerCopyWait is how long a VM without a copy waits for the copy of another VM.
 	peerCopyWait time.Duration
 }
@@ -214,6 +219,7 @@
 // shouldReadStore reports whether this VM should call the store itself.
 func (m *Mirror) shouldReadStore(now time.Time) bool {
 	rank := m.Peers.ReaderRank()
+	isTransferExpected := m.isTransferExpected(now)
 	switch {
 	case rank == 0:
 		return true
@@ -224,10 +230,25 @@
 	case m.isStoreUnreachable.Load():
 		return now.After(m.nextAttempt)
 	default:
-		return m.age(now) > followerReadAge
+		return m.age(now) > followerReadAge && !isTransferExpected
 	}
 }
 
+// isTransferExpected reports whether a VM with a newer and fresh copy has become known within transferWait.
+func (m *Mirror) isTransferExpected(now time.Time) bool {
+	hasNewer := slices.ContainsFunc(m.Peers.Sources(), func(s Source) bool {
+		return s.Revision > m.Copy.Revision() && now.Sub(s.Confirmed) <= followerReadAge
+	})
+	if !hasNewer {
+		m.newerSince = time.Time{}
+		return false
+	}
+	if m.newerSince.IsZero() {
+		m.newerSince = now
+	}
+	return now.Sub(m.newerSince) <= transferWait
+}
+
 // isPeerCopyWaitOver reports whether a VM without a copy has waited long enough for the copy of another VM.
 func (m *Mirror) isPeerCopyWaitOver(now time.Time) bool {
 	hasSource := slices.ContainsFunc(m.Peers.Sources(), func(s Source) bool { return s.Revision > 0 })
@@ -280,6 +301,9 @@
 	}
 	m.Copy.Adopt(changes, time.Now())
 	m.OnConfirm()
+	if isLarge(changes.Items) {
+		m.OnStateChange()
+	}
 	if len(changes.Items) > 0 {
 		periodic.Pause(ctx, changeBatchDelay)
 	}
@@ -335,12 +359,26 @@
 	rand.Shuffle(fresh, func(i, j int) { sources[i], sources[j] = sources[j], sources[i] })
 }
 
+// shuffleNewest shuffles the sources with the newest copy but for the first, so that the VMs that the first one turns away
+// do not all turn to the second.
+func shuffleNewest(sources []Source) {
+	newest := slices.IndexFunc(sources, func(s Source) bool { return s.Revision < sources[0].Revision })
+	if newest < 0 {
+		newest = len(sources)
+	}
+	if newest > 2 {
+		rand.Shuffle(newest-1, func(i, j int) { sources[i+1], sources[j+1] = sources[j+1], sources[i+1] })
+	}
+}
+
 // fetchFromPeers updates the copy from the freshest one that can be fetched, or confirms it if no other VM has a newer
 // revision.
 func (m *Mirror) fetchFromPeers(ctx context.Context) {
 	sources := m.Peers.Sources()
 	if m.Copy.Revision() == 0 {
 		shuffleFresh(sources, time.Now())
+	} else {
+		shuffleNewest(sources)
 	}
 	for _, s := range sources {
 		if s.Revision > m.Copy.Revision() {
@@ -355,7 +393,7 @@
 			isFirst := m.Copy.Revision() == 0
 			m.Copy.AdoptFromPeer(changes, time.Now())
 			m.Copy.Confirm(s.Confirmed)
-			if isFirst {
+			if isFirst || changes.IsLarge() {
 				m.OnStateChange()
 			}
 			return
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -80,7 +80,8 @@
 	isRestart bool
 	// startsWithin is the time over which the VMs start one after the other; 0 means all at once.
 	startsWithin time.Duration
-	// fullCopyTime is the time that one full copy takes over the otherwise idle link of the VM that serves it.
+	// fullCopyTime is the time that one full copy, or one large change, takes over the otherwise idle link of the VM that
+	// serves it.
 	fullCopyTime time.Duration
 }
 
@@ -111,7 +112,7 @@
 		changes = served
 		return nil
 	})
-	if err != nil || after > 0 || c.fullCopyTime == 0 {
+	if err != nil || after > 0 && !changes.IsLarge() || c.fullCopyTime == 0 {
 		return changes, err
 	}
 	took := time.Duration(from.transfers.Add(1)) * c.fullCopyTime
--- a/internal/mirror/start_test.go
+++ b/internal/mirror/start_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,6 +32,36 @@
 	})
 }
 
+// TestLargeChangeSpreadsOverSlowLinks writes a configuration of 600 KB, as when the operator adds 2,000 routes, in a zone
+// of 28 VMs whose links carry 10 Mbit/s. It guards against all VMs fetching it from the first VM that has it: the transfers
+// shared its link and exceeded their timeout, then all VMs read the store over the link between the regions, and some ran
+// the old configuration for 3 s.
+func TestLargeChangeSpreadsOverSlowLinks(t *testing.T) {
+	const (
+		size = 28
+		// maxCalls is one call a second of the reader and the one that returns the change, with one to spare.
+		maxCalls = 4
+	)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		store := kvtest.New()
+		store.Put("config", "1")
+		c := &cluster{store: store, needsRegistration: true, fullCopyTime: 100 * time.Millisecond}
+		c.putRegistrations(size)
+		c.start(ctx, size)
+		time.Sleep(5 * time.Second)
+		large := strings.Repeat("route ", 100_000)
+		store.Put("config", large)
+		before := store.Calls()
+		time.Sleep(propagationLimit)
+		qt.Check(t, c.withoutValue("config", large), qt.HasLen, 0)
+		qt.Check(t, store.Calls()-before <= maxCalls, qt.IsTrue, qt.Commentf("%d calls", store.Calls()-before))
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
+
 // TestReturnOverANarrowLink starts the VMs of the region without the store when 300 VMs return after a power failure:
 // 150 VMs in two zones, with 3,000 backend servers. An entry has about 450 bytes and the link to the store carries 30
 // Mbit/s. When all VMs read the registrations of their zone and some of them the full store, calls exceeded their
--- a/internal/vmpeer/feed.go
+++ b/internal/vmpeer/feed.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -19,14 +20,17 @@
 
 const (
 	changesPath = "/v1/changes"
-	// fetchTimeout limits the fetch of changes from a VM of the same zone, which takes a few milliseconds.
-	fetchTimeout = 400 * time.Millisecond
-	// fullFetchTimeout limits the fetch of a full copy: a megabyte, from a VM that serves it to others at the same time.
-	fullFetchTimeout = 2 * time.Second
+	// headerTimeout limits the time until a VM begins to send changes, which takes a few milliseconds. It shows soon that
+	// the path to the VM is cut.
+	headerTimeout = 400 * time.Millisecond
+	// fetchTimeout limits the fetch of large changes or of a full copy: a megabyte, from a VM that serves it to others at
+	// the same time.
+	fetchTimeout = 2 * time.Second
 )
 
-// FeedHandler returns the handler that serves the changes of a copy of the store. The full copy is compressed, to a tenth
-// of its size. A request without a valid revision gets 400, and one for a full copy while the feed is busy gets 503.
+// FeedHandler returns the handler that serves the changes of a copy of the store. The full copy and large changes are
+// compressed, to a tenth of their size. A request without a valid revision gets 400, and one for them while the feed is
+// busy gets 503.
 func FeedHandler(f *mirror.Feed) http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc(changesPath, func(w http.ResponseWriter, r *http.Request) {
@@ -37,7 +41,7 @@
 		}
 		err = f.Serve(after, func(c mirror.Changes) error {
 			w.Header().Set("Content-Type", "application/json")
-			if after == 0 {
+			if after == 0 || c.IsLarge() {
 				return writeCompressed(w, c)
 			}
 			return json.NewEncoder(w).Encode(c)
@@ -68,16 +72,15 @@
 
 // NewFetcher returns a Fetcher that opens a connection for each fetch.
 func NewFetcher() *Fetcher {
-	return &Fetcher{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	dialer := &net.Dialer{Timeout: headerTimeout}
+	return &Fetcher{http: &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true, DialContext: dialer.DialContext, ResponseHeaderTimeout: headerTimeout,
+	}}}
 }
 
 // Fetch implements mirror.Fetcher. After revision 0 it fetches the full copy.
 func (f *Fetcher) Fetch(ctx context.Context, address string, after uint64) (mirror.Changes, error) {
-	timeout := fetchTimeout
-	if after == 0 {
-		timeout = fullFetchTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	changes, err := f.fetch(ctx, address, after)
 	return changes, peererr.Wrap(err, "fetch changes", address)
--- a/internal/vmpeer/feed_test.go
+++ b/internal/vmpeer/feed_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -34,6 +36,47 @@
 	c.Check(later, qt.DeepEquals, copied.Since(3))
 }
 
+// TestLargeChangesAreCompressedAndServedToFew checks that large changes, such as a configuration with many routes, are
+// compressed, and that a feed which is serving its maximum number of them rejects further requests for them at once.
+func TestLargeChangesAreCompressedAndServedToFew(t *testing.T) {
+	c := qt.New(t)
+	copied := mirror.NewCopy(func([]kv.Item) {})
+	feed := mirror.NewFeed(copied)
+	server := httptest.NewServer(FeedHandler(feed))
+	defer server.Close()
+	large := bytes.Repeat([]byte("route "), 20_000)
+	copied.Adopt(kv.Changes{Items: []kv.Item{{Key: "config", Value: large, Revision: 4}}, Revision: 4}, time.Now())
+
+	request, err := http.NewRequest(http.MethodGet, server.URL+changesPath+"?after=3", nil)
+	c.Assert(err, qt.IsNil)
+	request.Header.Set("Accept-Encoding", "gzip")
+	response, err := http.DefaultTransport.RoundTrip(request)
+	c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	sent, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+	c.Check(len(sent) < len(large)/10, qt.IsTrue, qt.Commentf("%d bytes", len(sent)))
+
+	f := NewFetcher()
+	address := server.Listener.Addr().String()
+	var changes mirror.Changes
+	err = periodic.Poll(time.Second, func() (err error) {
+		changes, err = f.Fetch(t.Context(), address, 3)
+		return err
+	})
+	c.Assert(err, qt.IsNil)
+	c.Check(changes, qt.DeepEquals, copied.Since(3))
+	time.Sleep(100 * time.Millisecond)
+	err = feed.Serve(3, func(mirror.Changes) error {
+		return feed.Serve(3, func(mirror.Changes) error {
+			_, err := f.Fetch(t.Context(), address, 3)
+			c.Check(err, qt.ErrorIs, mirror.ErrBusy)
+			return nil
+		})
+	})
+	c.Check(err, qt.IsNil)
+}
+
 // TestFullCopyIsServedToFew checks that a feed which is serving its maximum number of full copies rejects further requests
 // for the full copy at once, still serves later changes, and serves full copies again afterwards.
 func TestFullCopyIsServedToFew(t *testing.T) {
