listen: the gateway's stop does not wait for silent connections to its other listeners

Cause: http.Server.Shutdown waits five seconds for a new connection on which nothing has arrived. The stop of the gateway calls it for four listeners one after the other, after the grace time is nearly used up. Change: HTTPShort, for listeners with short requests that can be repeated: stop waits 100 ms for them, then closes.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -218,3 +218,25 @@
 	c.Check(<-stopped, qt.IsNil)
 	c.Check(time.Since(began) < 1500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
 }
+
+// TestPlannedStopDoesNotWaitForOtherListeners opens connections to the listeners that do not serve requests, at the end of
+// a planned stop, and sends nothing on them. It guards against a stop that outlasts the grace time: each of these listeners
+// waited for such a connection for five seconds, one after the other.
+func TestPlannedStopDoesNotWaitForOtherListeners(t *testing.T) {
+	const lastMoment = 2700 * time.Millisecond
+	c := qt.New(t)
+	store := kvtest.New()
+	store.Put("config", "1")
+	s, app := startGateway(t, store.Client())
+	stopped := make(chan error, 1)
+	go func() { stopped <- app.Stop(context.Background()) }()
+	time.Sleep(lastMoment)
+	for _, address := range []string{s.DirectoryListen, s.ReadyListen, s.PeerListen, s.MetricsListen} {
+		conn, err := net.Dial("tcp", address)
+		c.Assert(err, qt.IsNil)
+		defer conn.Close()
+	}
+	began := time.Now()
+	c.Check(<-stopped, qt.IsNil)
+	c.Check(time.Since(began) < 1500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -48,7 +48,7 @@
 	m.RegisterGauge("neighbours", "Other live VMs of the availability zone, and store readers of other zones.", func() float64 {
 		return float64(len(in.Fleet.Sources()))
 	})
-	listen.HTTP(lc, in.Platform.Settings.Get().MetricsListen, router(metricsPath, m.Handler()))
+	listen.HTTPShort(lc, in.Platform.Settings.Get().MetricsListen, router(metricsPath, m.Handler()))
 }
 
 // metricsPath is the URL path of the metrics. deploy/system.toml contains it too.
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -169,7 +169,7 @@
 	endpoint.SetSelf(in.currentMember)
 	listen.Background(lc, func(context.Context) { go endpoint.Receive(countingReceiver{in.Dispatcher, in.Metrics}) })
 	serveMetrics(lc, in)
-	listen.HTTP(lc, s.PeerListen, vmpeer.FeedHandler(mirror.NewFeed(in.Copy)))
+	listen.HTTPShort(lc, s.PeerListen, vmpeer.FeedHandler(mirror.NewFeed(in.Copy)))
 	listen.Background(lc, in.Mirror.Run)
 	listen.Background(lc, in.Registrar.Run)
 	listen.Background(lc, endpoint.SendHeartbeats)
@@ -177,8 +177,8 @@
 	directory := p.NewDirectory(func(host, zone string) ([]string, time.Duration) {
 		return callerAddresses(f.Serving(host, zone, time.Now())), min(directoryTTL, p.Settings.Get().MaxAnswerTTL)
 	})
-	listen.HTTP(lc, s.DirectoryListen, router(p.Paths.Resolve, directory))
-	listen.HTTP(lc, s.ReadyListen, router(p.Paths.Ready, readyHandler(state)))
+	listen.HTTPShort(lc, s.DirectoryListen, router(p.Paths.Resolve, directory))
+	listen.HTTPShort(lc, s.ReadyListen, router(p.Paths.Ready, readyHandler(state)))
 	handler := ingress.NewHandler(ingress.Headers{
 		RequestID: p.Headers.RequestID, DeadlineMS: p.Headers.DeadlineMS,
 		Internal: []string{p.Headers.ExpectedInstance, p.Headers.NotExecuted, p.Headers.Instance, p.Headers.Signature},
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -26,16 +26,42 @@
 // HTTP serves a handler between start and stop of the application. Stop waits for requests in flight. Connections above
 // maxConnections wait to be accepted. The process panics if the listener fails while serving.
 func HTTP(lc fx.Lifecycle, address string, handler http.Handler) {
-	server := &http.Server{
+	server := newHTTPServer(handler)
+	lc.Append(fx.Hook{OnStart: onStart(address, serveHTTP(server)), OnStop: server.Shutdown})
+}
+
+// shortDrain is how long the stop of HTTPShort waits for requests in flight.
+const shortDrain = 100 * time.Millisecond
+
+// HTTPShort serves a handler like HTTP, but its requests are short and can be repeated: stop waits for them for
+// shortDrain at most. http.Server.Shutdown alone waits up to five seconds for a new connection on which nothing arrives.
+func HTTPShort(lc fx.Lifecycle, address string, handler http.Handler) {
+	server := newHTTPServer(handler)
+	stop := func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, shortDrain)
+		defer cancel()
+		if server.Shutdown(ctx) != nil {
+			return server.Close()
+		}
+		return nil
+	}
+	lc.Append(fx.Hook{OnStart: onStart(address, serveHTTP(server)), OnStop: stop})
+}
+
+func newHTTPServer(handler http.Handler) *http.Server {
+	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	serve := func(l net.Listener) {
+}
+
+// serveHTTP returns a function that serves the connections of a listener.
+func serveHTTP(server *http.Server) func(net.Listener) {
+	return func(l net.Listener) {
 		if err := server.Serve(netutil.LimitListener(l, maxConnections)); !errors.Is(err, http.ErrServerClosed) {
 			panic(err)
 		}
 	}
-	lc.Append(fx.Hook{OnStart: onStart(address, serve), OnStop: server.Shutdown})
 }
 
 // onStart returns a start hook that opens a listener and serves it in the background.
