backend: endless answers share a bounded memory

Change: the parts of a body beyond the first are taken from a budget of 32 MB that all connections share. An answer that finds none ends as one that may have run, and its connection is closed. Parts are kept as read, so that growing buffers do not double the memory. Ruled out: heads without end (64 KB each), informational answers (8), chunk extensions and trailers (bounded by net/http): TestEndlessAnswers passed for them on the old code too.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -13,12 +13,12 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -205,7 +205,7 @@
 	}
 	// The budget exceeds the body's limit because chunked encoding adds framing bytes.
 	c.readBudget = 2*min(r.MaxAnswerBytes, math.MaxInt64/4) + maxHeaderBytes
-	body, err := readBody(resp, r.MaxAnswerBytes)
+	body, err := readBody(resp, r.MaxAnswerBytes, c.options.Memory)
 	if err != nil {
 		return nil, false, err
 	}
@@ -269,22 +269,45 @@
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// readBody reads the whole body, up to limit bytes.
-func readBody(resp *http.Response, limit int64) ([]byte, error) {
-	var body bytes.Buffer
-	if resp.ContentLength > 0 {
-		body.Grow(int(resp.ContentLength) + bytes.MinRead)
-	}
-	limit = min(limit, math.MaxInt64/4)
-	n, err := body.ReadFrom(io.LimitReader(resp.Body, limit+1))
-	if errors.Is(err, io.ErrUnexpectedEOF) {
-		return nil, ErrAnswerTruncated
-	}
-	if err != nil {
-		return nil, err
+const (
+	// firstChunkBytes is the size of the first part of a body of unknown length.
+	firstChunkBytes = 4 << 10
+	// bodyChunkBytes is the size of the further parts, and the maximum size of the first one.
+	bodyChunkBytes = 64 << 10
+)
+
+// readBody reads the whole body, up to limit bytes. It takes the memory for all parts but the first from the budget while
+// it reads, so that endless bodies of many backend servers do not exhaust the memory of the process.
+func readBody(resp *http.Response, limit int64, budget *ByteBudget) ([]byte, error) {
+	size := int64(firstChunkBytes)
+	if resp.ContentLength >= 0 {
+		size = min(resp.ContentLength+1, bodyChunkBytes)
 	}
-	if n > limit {
-		return nil, ErrAnswerTooLarge
+	var full [][]byte
+	defer func() { budget.giveBack(int64(len(full)) * bodyChunkBytes) }()
+	chunk, total := make([]byte, 0, size), int64(0)
+	for {
+		if len(chunk) == cap(chunk) {
+			if !budget.take(bodyChunkBytes) {
+				return nil, ErrNoMemory
+			}
+			full = append(full, chunk)
+			chunk = make([]byte, 0, bodyChunkBytes)
+		}
+		n, err := resp.Body.Read(chunk[len(chunk):cap(chunk)])
+		chunk = chunk[:len(chunk)+n]
+		total += int64(n)
+		switch {
+		case total > limit:
+			return nil, ErrAnswerTooLarge
+		case errors.Is(err, io.EOF) && len(full) == 0:
+			return chunk, nil
+		case errors.Is(err, io.EOF):
+			return slices.Concat(append(full, chunk)...), nil
+		case errors.Is(err, io.ErrUnexpectedEOF):
+			return nil, ErrAnswerTruncated
+		case err != nil:
+			return nil, err
+		}
 	}
-	return body.Bytes(), nil
 }
--- /dev/null
+++ b/internal/backend/endless_test.go
@@ -0,0 +1,139 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// newEndlessPeer starts a backend server that reads the head of a request and answers with start, followed by piece until
+// the connection is closed.
+func newEndlessPeer(tb testing.TB, start, piece string, pause time.Duration) (address string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(tb, err, qt.IsNil)
+	tb.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if _, err := conn.Read(make([]byte, 1024)); err != nil {
+					return
+				}
+				_, err := io.WriteString(conn, start)
+				for ; err == nil; time.Sleep(pause) {
+					_, err = io.WriteString(conn, piece)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// TestEndlessAnswers sends bytes that are no answer without end, fast and one piece at a time. Each attempt ends by the size
+// limits or by the deadline, counts as one that may have started, and its connection is closed.
+func TestEndlessAnswers(t *testing.T) {
+	const chunkedHead = "HTTP/1.1 200 OK\r\n" + ownID + "Transfer-Encoding: chunked\r\n\r\n"
+	tests := []struct{ name, start, piece string }{
+		{"no status line", "", "x"},
+		{"header lines", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		{"header value", "HTTP/1.1 200 OK\r\nA: ", "x"},
+		{"informational answers", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		{"unframed body", "HTTP/1.1 200 OK\r\n" + ownID + "\r\n", "x"},
+		{"long body", "HTTP/1.1 200 OK\r\n" + ownID + "Content-Length: 9000000000\r\n\r\n", "x"},
+		{"chunks", chunkedHead, "1\r\nx\r\n"},
+		{"chunk extension", chunkedHead + "1;", "x"},
+		{"trailer", chunkedHead + "0\r\n", "A: b\r\n"},
+		{"answers to other requests", "", okAnswer("earlier", "late body")},
+	}
+	for _, test := range tests {
+		for _, isSlow := range []bool{false, true} {
+			name, piece, pause := test.name, strings.Repeat(test.piece, 1000), time.Duration(0)
+			if isSlow {
+				name, piece, pause = name+", slow", test.piece, 5*time.Millisecond
+			}
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				pool := newLenientPool(newEndlessPeer(t, test.start, piece, pause))
+				ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+				defer cancel()
+				r := newRequest("own", http.MethodPost, "in")
+				r.MaxAnswerBytes = 1 << 20
+				began := time.Now()
+				_, err := pool.Do(ctx, r)
+				c.Assert(err, qt.IsNotNil)
+				c.Check(MayHaveStarted(err), qt.IsTrue)
+				c.Check(time.Since(began) < 2*time.Second, qt.IsTrue)
+				c.Check(pool.OpenConns(), qt.Equals, 0)
+			})
+		}
+	}
+}
+
+// TestEndlessBodiesShareTheMemory lets many backend servers send bodies without end at the same time. It guards against the
+// process using the maximum size of an answer for each of them, which exceeds the memory of a small VM.
+func TestEndlessBodiesShareTheMemory(t *testing.T) {
+	const (
+		requests    = 100
+		answerLimit = 16 << 20
+		memory      = 16 << 20
+		// maxHeapGrowth leaves room for joining the parts of an answer, and for the first part and the buffers of each.
+		maxHeapGrowth = 2*memory + requests*(128<<10)
+	)
+	c := qt.New(t)
+	options := newLenientPool("").options
+	options.MaxConns, options.Memory = requests, NewByteBudget(memory)
+	start := "HTTP/1.1 200 OK\r\n" + ownID + "\r\n"
+	pool := NewPoolWithOptions(newEndlessPeer(t, start, strings.Repeat("x", 64<<10), 0), options)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	before, most := heapBytes(), uint64(0)
+	var wait sync.WaitGroup
+	noMemory := make(chan error, requests)
+	for range requests {
+		wait.Go(func() {
+			r := newRequest("own", http.MethodPost, "in")
+			r.MaxAnswerBytes = answerLimit
+			_, err := pool.Do(ctx, r)
+			noMemory <- err
+		})
+	}
+	for range 10 {
+		time.Sleep(50 * time.Millisecond)
+		most = max(most, heapBytes())
+	}
+	wait.Wait()
+	close(noMemory)
+	turnedAway := 0
+	for err := range noMemory {
+		c.Check(MayHaveStarted(err), qt.IsTrue)
+		if errors.Is(err, ErrNoMemory) {
+			turnedAway++
+		}
+	}
+	t.Logf("heap grew by %d MB, %d of %d answers exceeded the memory", (most-min(before, most))>>20, turnedAway, requests)
+	c.Check(turnedAway > 0, qt.IsTrue)
+	c.Check(most-min(before, most) < maxHeapGrowth, qt.IsTrue)
+	c.Check(options.Memory.left.Load(), qt.Equals, int64(memory))
+}
+
+// heapBytes returns the size of the heap that is in use after a garbage collection.
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapInuse
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -35,6 +35,8 @@
 	// AllowUnframed accepts answers that have neither a Content-Length nor chunked encoding and end with a clean close of
 	// the connection.
 	AllowUnframed bool
+	// Memory limits the memory for the answers that are being received. Pools may share it; nil means no limit.
+	Memory *ByteBudget
 	// SkipMismatched skips answers that carry the ID of another request and waits for the right one.
 	SkipMismatched bool
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -144,10 +144,13 @@
 // crashWindow is how long a request that breaks the connections of backend servers stays blocked.
 const crashWindow = 10 * time.Minute
 
+// answerMemoryBytes limits the memory for the answers that are being received. The smallest VMs have 184 MB.
+const answerMemoryBytes = 32 << 20
+
 // New returns a dispatcher without backend servers.
 func New(o Options) *Dispatcher {
 	if o.Connect == nil {
-		o.Connect = o.connectTCP
+		o.Connect = o.connectTCP(backend.NewByteBudget(answerMemoryBytes))
 	}
 	return &Dispatcher{options: o, crashes: poison.NewRegistry(crashWindow), services: map[string]*service{}}
 }
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -137,11 +137,15 @@
 	return added
 }
 
-func (o *Options) connectTCP(to roster.Server, maxConnections int) ConnectionPool {
-	return backend.NewPoolWithOptions(to.Address, backend.Options{
-		MaxConns: maxConnections, RequestIDHeader: o.Protocol.RequestID, MaxIdle: maxIdle,
-		Dialer: tcpdial.NewDialer(tcpdial.BackendOptions), AllowUnframed: true, SkipMismatched: true,
-	})
+// connectTCP returns a function that returns pools of TCP connections, which share the memory for answers.
+func (o *Options) connectTCP(memory *backend.ByteBudget) func(roster.Server, int) ConnectionPool {
+	protocol := o.Protocol
+	return func(to roster.Server, maxConnections int) ConnectionPool {
+		return backend.NewPoolWithOptions(to.Address, backend.Options{
+			MaxConns: maxConnections, RequestIDHeader: protocol.RequestID, MaxIdle: maxIdle, Memory: memory,
+			Dialer: tcpdial.NewDialer(tcpdial.BackendOptions), AllowUnframed: true, SkipMismatched: true,
+		})
+	}
 }
 
 func (s *service) countRequest() {
