dispatch: near backend servers first, distant ones only if they may cost less

Cause: each request assessed every backend server of its service, also those of other regions: 0.56 ms of processor time with 649 backend servers, about what requestsPerCore allows for a whole request. Change: backend servers are kept in order of distance; one whose minimum cost (distance and the failures of a healthy server) is not below the best so far is passed over, unless it may get a trial or has just joined. Ruled out: sampling (the choice stays the cheapest one).

--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -1,9 +1,11 @@
 package dispatch
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
+	"github.com/primroseladder/primroseladder/internal/evidence"
 	"github.com/primroseladder/primroseladder/internal/route"
 )
 
@@ -52,17 +54,22 @@
 }
 
 // pick reserves the backend server with the lowest expected cost. It returns nil if none can start the request before
-// the deadline; wait is then the shortest expected time until a slot is free, or 0 without any candidate.
+// the deadline; wait is then the shortest expected time until a slot is free, or 0 without any candidate. Near backend
+// servers come first, so that most others are passed over by their minimum cost: assessing all of them for each request
+// takes half a millisecond in a service of 650.
 func (s *service) pick(
 	r *Request, deadline time.Time, tried map[string]bool, now time.Time,
 ) (res *reservation, wait time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var best, shortestWait choice
-	for _, candidate := range s.servers {
+	for _, candidate := range s.byDistance {
 		if candidate.IsDraining || tried[candidate.ID] {
 			continue
 		}
+		if best.server != nil && s.minCost(candidate, r.Target, now) >= best.cost {
+			continue
+		}
 		c := s.assess(candidate, r, deadline, now)
 		if c.canStartInTime && (best.server == nil || c.cost < best.cost) {
 			best = c
@@ -77,6 +84,21 @@
 	return s.reserve(best, now), 0
 }
 
+// minCost returns a lower limit of the cost of a backend server that needs no estimate: that of its distance and of the
+// failures of a healthy server. It is minus infinity for a server that may get a bonus.
+func (s *service) minCost(srv *server, t *route.Target, now time.Time) float64 {
+	if s.isIdle(srv, t, now) || isNew(srv, now) {
+		return math.Inf(-1)
+	}
+	const least = evidence.MinFailureProbability
+	return s.distanceCost(srv) + failCost(t, least)*least
+}
+
+// isNew reports whether the backend server has joined a running service and got no request yet.
+func isNew(srv *server, now time.Time) bool {
+	return !srv.joined.IsZero() && srv.lastUsed.IsZero() && now.Sub(srv.joined) < joinWindow
+}
+
 // assess returns the expected cost of sending the request to a backend server.
 func (s *service) assess(srv *server, r *Request, deadline, now time.Time) choice {
 	slowdown, load := srv.slowdown(now), srv.load(now)
@@ -135,7 +157,7 @@
 	if now.Before(srv.shedUntil) {
 		cost += shedCost
 	}
-	if !srv.joined.IsZero() && srv.lastUsed.IsZero() && now.Sub(srv.joined) < joinWindow {
+	if isNew(srv, now) {
 		cost -= joinBonus
 	}
 	return cost
@@ -156,13 +178,33 @@
 // eitherProbability returns the probability of at least one of two independent faults.
 func eitherProbability(a, b float64) float64 { return 1 - (1-a)*(1-b) }
 
+// distance is how far a backend server is from this VM.
+type distance int
+
+const (
+	sameZone distance = iota
+	sameRegion
+	otherRegion
+)
+
+func (s *service) distance(srv *server) distance {
+	switch {
+	case srv.Zone == s.options.Zone:
+		return sameZone
+	case s.options.Regions[srv.Zone] == s.options.Region:
+		return sameRegion
+	default:
+		return otherRegion
+	}
+}
+
 // distanceCost returns the cost of the traffic to a backend server in another zone or region.
 func (s *service) distanceCost(srv *server) float64 {
 	kb := s.meanBytes / 1024
-	switch {
-	case srv.Zone == s.options.Zone:
+	switch s.distance(srv) {
+	case sameZone:
 		return 0
-	case s.options.Regions[srv.Zone] == s.options.Region:
+	case sameRegion:
 		return zoneCost + zoneCostPerKB*kb
 	default:
 		return regionCost + regionCostPerKB*kb
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -72,8 +74,10 @@
 	name    string
 	options *Options
 
-	mu         sync.Mutex
-	servers    map[string]*server
+	mu      sync.Mutex
+	servers map[string]*server
+	// byDistance holds the servers in ascending order of distanceCost.
+	byDistance []*server
 	durations  evidence.DurationModel
 	recent     failureWindow
 	budget     retryBudget
@@ -122,6 +126,9 @@
 		logevent.BackendRemoved.Log(s.options.Log).Str("service", s.name).Str("server", id).Send()
 	}
 	s.hadServers = s.hadServers || len(list) > 0
+	s.byDistance = slices.SortedFunc(maps.Values(s.servers), func(a, b *server) int {
+		return cmp.Or(cmp.Compare(s.distance(a), s.distance(b)), cmp.Compare(a.ID, b.ID))
+	})
 }
 
 func (s *service) newServer(entry roster.Server, maxConnections int, now time.Time) *server {
--- a/internal/evidence/estimate.go
+++ b/internal/evidence/estimate.go
@@ -90,6 +90,8 @@
 	failureShareUnhealthy = 0.85
 	// failureShareHealthy is the share of its requests that a healthy backend server fails.
 	failureShareHealthy = 0.012
+	// MinFailureProbability is the least value of FailureProbability of a backend server.
+	MinFailureProbability = failureShareHealthy
 	// episodeThreshold is the unhealthy probability above which an unhealthy episode begins.
 	episodeThreshold = 0.6
 )
