dispatch: order backend servers by distance only when the list has changed

Cause: each change in the store updates all services, and the order was made anew each time: 444 VMs, a few times a second. Change: the order is kept unless a backend server was added, removed, replaced or has another zone.

--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -104,7 +104,7 @@
 func (s *service) update(list []roster.Server, maxConnections int, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	removed := maps.Clone(s.servers)
+	removed, isChanged := maps.Clone(s.servers), false
 	for _, entry := range list {
 		delete(removed, entry.ID)
 		known := s.servers[entry.ID]
@@ -112,6 +112,7 @@
 			if entry.IsDraining && !known.IsDraining {
 				logevent.BackendDraining.Log(s.options.Log).Str("service", s.name).Str("server", entry.ID).Send()
 			}
+			isChanged = isChanged || known.Zone != entry.Zone
 			known.Server = entry
 			continue
 		}
@@ -119,6 +120,7 @@
 			known.pool.Close()
 		}
 		s.servers[entry.ID] = s.newServer(entry, maxConnections, now)
+		isChanged = true
 	}
 	for id, old := range removed {
 		old.pool.Close()
@@ -126,6 +128,9 @@
 		logevent.BackendRemoved.Log(s.options.Log).Str("service", s.name).Str("server", id).Send()
 	}
 	s.hadServers = s.hadServers || len(list) > 0
+	if !isChanged && len(removed) == 0 {
+		return
+	}
 	s.byDistance = slices.SortedFunc(maps.Values(s.servers), func(a, b *server) int {
 		return cmp.Or(cmp.Compare(s.distance(a), s.distance(b)), cmp.Compare(a.ID, b.ID))
 	})
