--- a/internal/membership/monitors.go
+++ b/internal/membership/monitors.go
@@ -15,8 +15,8 @@
 // a host's group depends on their rates. VMs may briefly disagree on the ring. A VM that is wrongly reported as silent
 // receives the report too and announces to all others that it is alive.
 //
-// After several losses at once, VMs may have lost all of their monitors. Each VM then probes those that it has not heard
-// since, see census.
+// After several losses at once, VMs may have lost all of their monitors. Each VM then holds a census: it probes the VMs that
+// it has not heard since.
 const (
 	// defaultMeshSize is the largest zone in which every VM monitors every other. With 55 VMs in a zone, a VM would send
 	// and receive 220 heartbeats a second, which takes a tenth of 0.16 cores.
@@ -87,8 +87,7 @@
 const (
 	// silenceWindow is the time over which losses count as simultaneous.
 	silenceWindow = time.Second
-	// censusThreshold is the number of simultaneous losses that start a census. As many monitors, and no fewer, may take
-	// a VM's whole surveillance with them.
+	// censusThreshold is the number of simultaneous losses that start a census. With fewer, every VM keeps a monitor.
 	censusThreshold = monitorCount
 	// censusLength is the time in which VMs are probed. A VM that does not reply within newMonitorSilentAfter is
 	// considered silent. The probes go on, so that one whose replies were lost is known to be alive soon after.
@@ -105,7 +104,8 @@
 	}
 }
 
-// Unheard returns, during a census, the VMs that have sent nothing since it began, but for those that were lost long before.
+// Unheard returns, during a census, the VMs that have sent nothing since it began. It leaves out those that were lost long
+// before.
 func (f *Fleet) Unheard(now time.Time) []Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -167,9 +167,9 @@
 	return names
 }
 
-// isOverdue reports whether a heartbeat that this VM should have received is missing, or whether a monitor has
-// reported the other VM as silent, or whether it has not replied in a census. mustReport is set if the zone is large and this VM itself monitors the other one: this
-// VM must then report the other one as silent. The caller holds f.mu.
+// isOverdue reports whether a heartbeat that this VM should have received is missing, whether a monitor has reported the
+// other VM as silent, or whether the other VM has not replied in a census. mustReport is set if the zone is large and this
+// VM itself monitors the other one: this VM must then report the other one as silent. The caller holds f.mu.
 func (f *Fleet) isOverdue(name string, h heartbeat, now time.Time) (isOverdue, mustReport bool) {
 	expected, isMonitor := f.monitoring.monitoredSince[name]
 	limit := silentAfter
