entrypeer: a forwarded answer says that it is remembered

The work had not run again: re-sends never run. Change: the mark goes with the headers of the forwarded answer; one that a backend server sets does not count.

--- a/internal/entrypeer/convert.go
+++ b/internal/entrypeer/convert.go
@@ -7,9 +7,11 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	pb "github.com/primroseladder/primroseladder/api/primrosev1"
+	"github.com/primroseladder/primroseladder/internal/header"
 	"github.com/primroseladder/primroseladder/internal/once"
 	"github.com/primroseladder/primroseladder/internal/outcome"
 	"github.com/primroseladder/primroseladder/internal/request"
@@ -59,16 +61,26 @@
 	}
 }
 
+// responseToProto sends whether an answer is remembered among its headers, in place of what the backend server may have set
+// there. VMs of earlier versions remove that header.
 func responseToProto(id string, r *request.Response) *pb.ForwardResponse {
+	headers := headersToProto(r.Header)
+	headers = slices.DeleteFunc(headers, func(h *pb.Header) bool { return h.GetName() == header.Remembered })
+	if r.Remembered {
+		headers = append(headers, &pb.Header{Name: header.Remembered, Values: []string{"true"}})
+	}
 	return &pb.ForwardResponse{
-		RequestId: id, Outcome: outcomeToProto[r.Outcome], Status: uint32(r.Status), Headers: headersToProto(r.Header),
+		RequestId: id, Outcome: outcomeToProto[r.Outcome], Status: uint32(r.Status), Headers: headers,
 		Body: r.Body, Reason: string(r.Reason), RetryAfterMs: uint32(r.RetryAfter.Milliseconds()), Backend: r.Backend,
 	}
 }
 
 func responseFromProto(r *pb.ForwardResponse) *request.Response {
+	headers := headersFromProto(r.GetHeaders())
+	isRemembered := headers.Get(header.Remembered) == "true"
+	headers.Del(header.Remembered)
 	return &request.Response{
-		Outcome: outcomeFromProto(r.GetOutcome()), Status: int(r.GetStatus()), Header: headersFromProto(r.GetHeaders()),
+		Outcome: outcomeFromProto(r.GetOutcome()), Status: int(r.GetStatus()), Header: headers, Remembered: isRemembered,
 		Body: r.GetBody(), Reason: outcome.Reason(r.GetReason()), Backend: r.GetBackend(),
 		RetryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
 	}
