--- a/internal/callerconn/exchange.go
+++ b/internal/callerconn/exchange.go
@@ -44,6 +44,9 @@
 	return &exchange{conn: c, request: r.WithContext(ctx), cancel: cancel}
 }
 
+// id returns the id of the request.
+func (e *exchange) id() string { return e.request.Header.Get(e.conn.server.options.RequestIDHeader) }
+
 // run handles the request and writes its answer.
 func (e *exchange) run() {
 	defer e.cancel()
@@ -72,7 +75,7 @@
 func (e *exchange) handle(w *response) (ok bool) {
 	defer func() {
 		if reason := recover(); reason != nil {
-			logevent.HandlerPanicked.Log(e.conn.server.options.Log).Stringer("peer", e.conn.raw.RemoteAddr()).
+			logevent.HandlerPanicked.Log(e.conn.server.options.Log).Str("request", e.id()).Stringer("peer", e.conn.raw.RemoteAddr()).
 				Str("reason", fmt.Sprint(reason)).Bytes("stack", debug.Stack()).Send()
 			e.conn.abort()
 		}
@@ -121,7 +124,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
-		logevent.RequestFailed.Log(c.server.options.Log).Str("reason", "the answer could not be written").
+		logevent.RequestFailed.Log(c.server.options.Log).Str("request", e.id()).Str("reason", "the answer could not be written").
 			Stringer("peer", c.raw.RemoteAddr()).Err(err).Send()
 		c.cancel()
 	}
--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -32,6 +32,8 @@
 	MayOverlap func(*http.Request) bool
 	// BodyLimits returns the maximum size of the body of a request, and the time within which it must be received.
 	BodyLimits func(*http.Request) (bytes int64, within time.Duration)
+	// RequestIDHeader is the header with the id of a request, for the log.
+	RequestIDHeader string
 	// IsClosing reports whether connections must be closed after their answers.
 	IsClosing func() bool
 	// ReadHeaderTimeout limits the time from the first byte of a request to the end of its header.
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -59,11 +59,12 @@
 }
 
 func newCallerServer(
-	s *LiveSettings, state *State, r *membership.Registrar, handler *ingress.Handler, announce func(), log zerolog.Logger,
+	p *Platform, state *State, r *membership.Registrar, handler *ingress.Handler, announce func(), log zerolog.Logger,
 ) *callerServer {
-	return &callerServer{settings: s, state: state, registrar: r, announce: announce, log: log, server: callerconn.NewServer(
+	return &callerServer{settings: p.Settings, state: state, registrar: r, announce: announce, log: log, server: callerconn.NewServer(
 		callerconn.Options{
 			Handler: handler, MayOverlap: handler.MayOverlap, BodyLimits: handler.BodyLimits, IsClosing: state.IsLeaving,
+			RequestIDHeader:   p.Headers.RequestID,
 			ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, UnusedTimeout: unusedTimeout,
 			WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes, MaxPending: maxPending,
 			MaxPendingBytes: maxPendingBytes, Log: log,
