dispatch: no further request to a backend server that says that it leaves

Cause: leaving was known from the store's catalogue alone. No code read Server-Leaving, so with a silent store, a lagging copy or a server that reports nothing there, the only sign was ignored. Class of fault: what a peer says of itself is not taken as input.

Change: the answer's statement is kept for the incarnation of the backend server, outlives changes of the list, and is told to all registered VMs at once. One predicate, acceptsRequests, decides for choices, repeats and trials. A 421 comes from another server and says nothing about this one. If all backend servers of a service leave, requests are refused as not run: such a server may stop at any moment, and a request that is cut off has an unknown outcome.

Ruled out: telling only the group of the service; the test's second VM is outside it and sent one request more.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -122,6 +122,9 @@
 	}
 	a.sent++
 	p := &a.dispatcher.options.Protocol
+	if answer.Status != http.StatusMisdirectedRequest {
+		res.said = readStatement(answer.Header, p, res.said.Incarnation)
+	}
 	switch {
 	case answer.Status == http.StatusMisdirectedRequest || answer.Header.Get(p.NotExecuted) != "":
 		res.complete(evidence.Shed, 0)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -94,11 +94,14 @@
 	// IsHealthTransition is set if the outcome has changed the state of the backend server, as this VM estimates it,
 	// from healthy to unhealthy or back.
 	IsHealthTransition bool
+	// Statement is what the backend server says about itself in its answer. IsNews is set if this VM did not know it.
+	Statement Statement
+	IsNews    bool
 }
 
 // Protocol holds the names of the headers that are exchanged with backend servers.
 type Protocol struct {
-	RequestID, DeadlineMS, Signature, ExpectedInstance, NotExecuted string
+	RequestID, DeadlineMS, Signature, ExpectedInstance, NotExecuted, Leaving string
 }
 
 // ConnectionPool holds this VM's connections to one backend server.
@@ -193,8 +196,9 @@
 	}
 }
 
-// ReceiveHealthTransition applies an outcome from another region that has changed the health of a backend server there.
-// Other regions send nothing else, so that the traffic between regions does not grow with the requests.
+// ReceiveHealthTransition applies an outcome from another region that has changed the health of a backend server there, or
+// what a backend server has newly said about itself to any VM. Other regions send nothing else, so that the traffic between
+// regions does not grow with the requests.
 func (d *Dispatcher) ReceiveHealthTransition(e Evidence) {
 	if s := d.service(e.Service); s != nil {
 		s.receiveHealthTransition(e, time.Now())
--- a/internal/dispatch/identity_test.go
+++ b/internal/dispatch/identity_test.go
@@ -148,3 +148,27 @@
 		qt.Check(t, s.sent, qt.HasLen, 2)
 	})
 }
+
+// TestLeavingIsRememberedForTheIncarnation guards against requests to a backend server that has said that it leaves, once its
+// entry has disappeared from the list and come back, and against keeping its next incarnation out.
+func TestLeavingIsRememberedForTheIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newSim(t, 1, route.NonIdempotent, false)
+		vm, server := s.vms[0], s.servers[0]
+		server.Incarnation = 1
+		s.update(nil)
+		vm.ReceiveHealthTransition(dispatch.Evidence{
+			Service: simService, Server: server.ID, Statement: dispatch.Statement{Incarnation: 1, IsLeaving: true},
+		})
+		send := func() dispatch.Outcome { return vm.Do(context.Background(), s.request(0)).Outcome }
+		c.Check(send(), qt.Equals, dispatch.NotRun)
+		vm.Update(map[string][]roster.Server{}, nil)
+		time.Sleep(time.Minute)
+		s.update(nil)
+		c.Check(send(), qt.Equals, dispatch.NotRun)
+		server.Incarnation = 2
+		s.update(nil)
+		c.Check(send(), qt.Equals, dispatch.Answered)
+	})
+}
--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -11,9 +11,11 @@
 type reservation struct {
 	service *service
 	// server is guarded by the lock of its service; id and pool are copies from when it was picked.
-	server  *server
-	id      string
-	pool    ConnectionPool
+	server *server
+	id     string
+	pool   ConnectionPool
+	// said is what the backend server says about itself in its answer.
+	said    Statement
 	openID  uint64
 	started time.Time
 	// isTrial is set if the backend server was picked to keep it in service.
@@ -30,7 +32,7 @@
 	chosen.lastUsed = now
 	s.options.ShareEvidence(Evidence{Service: s.name, Server: chosen.ID, Open: len(chosen.open)})
 	return &reservation{
-		service: s, server: chosen, id: chosen.ID, pool: chosen.pool, openID: s.nextOpenID, started: now,
+		service: s, server: chosen, id: chosen.ID, pool: chosen.pool, said: Statement{Incarnation: chosen.Incarnation}, openID: s.nextOpenID, started: now,
 		isTrial: c.isTrial, unhealthyProbability: chosen.estimate.UnhealthyProbability(now),
 	}
 }
@@ -47,13 +49,14 @@
 	took := now.Sub(r.started)
 	r.server.observePath(outcome, now)
 	isTransition := s.observe(r.server, outcome, took, now)
+	isNews := s.adopt(r.id, r.said, now)
 	s.countOutcome(outcome, r.isTrial, now)
 	if bytes > 0 {
 		s.updateMeanBytes(float64(bytes))
 	}
 	s.options.ShareEvidence(Evidence{
 		Service: s.name, Server: r.server.ID, Open: len(r.server.open), HasOutcome: true, Outcome: outcome, Took: took,
-		IsTrial: r.isTrial, IsHealthTransition: isTransition,
+		IsTrial: r.isTrial, IsHealthTransition: isTransition, Statement: r.said, IsNews: isNews,
 	})
 }
 
@@ -150,6 +153,7 @@
 func (s *service) receiveEvidence(peer string, e Evidence, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.adopt(e.Server, e.Statement, now)
 	srv := s.servers[e.Server]
 	if srv == nil {
 		return
@@ -168,6 +172,7 @@
 func (s *service) receiveHealthTransition(e Evidence, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.adopt(e.Server, e.Statement, now)
 	if srv := s.servers[e.Server]; srv != nil && e.HasOutcome {
 		s.observe(srv, e.Outcome, e.Took, now)
 	}
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -64,7 +64,7 @@
 	defer s.mu.Unlock()
 	var best, shortestWait choice
 	for _, candidate := range s.byDistance {
-		if candidate.IsDraining || tried[candidate.ID] {
+		if !candidate.acceptsRequests() || tried[candidate.ID] {
 			continue
 		}
 		if best.server != nil && s.minCost(candidate, r.Target, now) >= best.cost {
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -33,7 +33,9 @@
 // server is a backend server with this VM's state of it.
 type server struct {
 	roster.Server
-	pool     ConnectionPool
+	pool ConnectionPool
+	// advice is what the backend server has said about itself.
+	advice   *advice
 	estimate evidence.HealthEstimate
 	// path estimates the health of the network path from this VM.
 	path        evidence.HealthEstimate
@@ -76,6 +78,8 @@
 
 	mu      sync.Mutex
 	servers map[string]*server
+	// advice holds what backend servers have said about themselves. It outlives changes of the list.
+	advice map[incarnation]*advice
 	// byDistance holds the servers in ascending order of distanceCost.
 	byDistance []*server
 	durations  evidence.DurationModel
@@ -95,7 +99,7 @@
 
 func newService(name string, o *Options, now time.Time) *service {
 	return &service{
-		name: name, options: o, servers: map[string]*server{}, durations: evidence.NewDurationModel(initialDuration),
+		name: name, options: o, servers: map[string]*server{}, advice: map[incarnation]*advice{}, durations: evidence.NewDurationModel(initialDuration),
 		budget: retryBudget{perRequest: o.RetryRatio, window: o.RetryWindow, refilled: now},
 	}
 }
@@ -127,6 +131,7 @@
 		delete(s.servers, id)
 		logevent.BackendRemoved.Log(s.options.Log).Str("service", s.name).Str("server", id).Send()
 	}
+	s.expireAdvice(now)
 	s.hadServers = s.hadServers || len(list) > 0
 	if !isChanged && len(removed) == 0 {
 		return
@@ -139,7 +144,7 @@
 func (s *service) newServer(entry roster.Server, maxConnections int, now time.Time) *server {
 	logevent.BackendJoined.Log(s.options.Log).Str("service", s.name).Str("server", entry.ID).Str("zone", entry.Zone).Send()
 	added := &server{
-		Server: entry, path: evidence.NewPathEstimate(), warmupUntil: now.Add(entry.WarmupRemaining),
+		Server: entry, advice: s.adviceFor(incarnationOf(entry), now), path: evidence.NewPathEstimate(), warmupUntil: now.Add(entry.WarmupRemaining),
 		open: map[uint64]time.Time{}, peerOpen: map[string]peerCount{},
 		pool: s.options.Connect(entry, max(minConnections, maxConnections/connectionShareDivisor)),
 	}
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -90,7 +90,7 @@
 		Zone: s.Zone, Region: s.Region, Regions: s.Regions,
 		Protocol: dispatch.Protocol{
 			RequestID: h.RequestID, DeadlineMS: h.DeadlineMS, Signature: h.Signature,
-			ExpectedInstance: h.ExpectedInstance, NotExecuted: h.NotExecuted,
+			ExpectedInstance: h.ExpectedInstance, NotExecuted: h.NotExecuted, Leaving: h.Leaving,
 		},
 		ShareEvidence: func(e dispatch.Evidence) {
 			m.RecordSentEvidence(e)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -99,6 +99,8 @@
 	ExpectedInstance string
 	// NotExecuted is set by backend servers that have not run the request.
 	NotExecuted string
+	// Leaving is set to "1" by backend servers that are about to stop.
+	Leaving string
 	// Instance identifies the backend server that answers.
 	Instance string
 }
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -62,6 +62,7 @@
 	BackendJoined    = Event{1503, zerolog.InfoLevel, "backend server joined"}
 	BackendRemoved   = Event{1504, zerolog.InfoLevel, "backend server removed"}
 	BackendDraining  = Event{1505, zerolog.InfoLevel, "backend server is draining"}
+	BackendLeaving   = Event{1508, zerolog.InfoLevel, "backend server says that it leaves"}
 	BackendUnhealthy = Event{1506, zerolog.WarnLevel, "backend server considered unhealthy"}
 	BackendHealthy   = Event{1507, zerolog.InfoLevel, "backend server considered healthy again"}
 
--- a/internal/vmpeer/codec.go
+++ b/internal/vmpeer/codec.go
@@ -74,7 +74,8 @@
 }
 
 // encodeEvidence encodes, after the kind, the number of open requests (1 byte, at most 255), the outcome (1 byte), the
-// duration in milliseconds (4 bytes, big endian), and the names of the service and the backend server.
+// duration in milliseconds (4 bytes, big endian), and the names of the service and the backend server. What the backend server
+// says about itself follows if it says anything: see appendStatement.
 func encodeEvidence(e dispatch.Evidence) []byte {
 	out := []byte{byte(kindEvidence), byte(min(e.Open, 255)), noOutcome}
 	if e.HasOutcome {
@@ -85,7 +86,8 @@
 	}
 	out = binary.BigEndian.AppendUint32(out, uint32(e.Took.Milliseconds()))
 	out = appendName(out, e.Service)
-	return appendName(out, e.Server)
+	out = appendName(out, e.Server)
+	return appendStatement(out, e.Statement)
 }
 
 func decodeEvidence(body []byte) (dispatch.Evidence, error) {
@@ -105,10 +107,35 @@
 	if e.Service, rest, err = decodeName(rest); err != nil {
 		return e, err
 	}
-	e.Server, _, err = decodeName(rest)
+	if e.Server, rest, err = decodeName(rest); err != nil {
+		return e, err
+	}
+	e.Statement, err = decodeStatement(rest)
 	return e, err
 }
 
+// leavingBit is set in the first byte of a statement of a backend server that leaves.
+const leavingBit = 0x01
+
+// appendStatement appends a statement as one byte of flags and the incarnation of the backend server (8 bytes, big endian).
+// It appends nothing if the backend server says nothing about itself.
+func appendStatement(out []byte, s dispatch.Statement) []byte {
+	if !s.IsLeaving {
+		return out
+	}
+	return binary.BigEndian.AppendUint64(append(out, leavingBit), uint64(s.Incarnation))
+}
+
+func decodeStatement(in []byte) (dispatch.Statement, error) {
+	if len(in) == 0 {
+		return dispatch.Statement{}, nil
+	}
+	if len(in) < 9 {
+		return dispatch.Statement{}, fmt.Errorf("decode statement: %d bytes are fewer than the minimum of 9", len(in))
+	}
+	return dispatch.Statement{IsLeaving: in[0]&leavingBit != 0, Incarnation: int64(binary.BigEndian.Uint64(in[1:]))}, nil
+}
+
 func encodeCrash(c crash) []byte {
 	out := binary.BigEndian.AppendUint64([]byte{byte(kindCrash)}, uint64(c.fingerprint))
 	return appendName(out, c.server)
--- a/internal/vmpeer/codec_test.go
+++ b/internal/vmpeer/codec_test.go
@@ -17,6 +17,7 @@
 		{Service: "s", Server: "i-1", HasOutcome: true, Outcome: evidence.Hung, Took: 1500 * time.Millisecond},
 		{Service: "s", Server: "i-1", HasOutcome: true, Outcome: evidence.Failure, IsTrial: true},
 		{Service: "s", Server: "i-1", HasOutcome: true, Outcome: evidence.UsualFailure, IsTrial: true},
+		{Service: "s", Server: "i-1", HasOutcome: true, Statement: dispatch.Statement{IsLeaving: true, Incarnation: 1_767_225_600_123}},
 	} {
 		got, err := decodeEvidence(encodeEvidence(e)[1:])
 		qt.Assert(t, err, qt.IsNil)
--- a/internal/vmpeer/endpoint.go
+++ b/internal/vmpeer/endpoint.go
@@ -32,7 +32,8 @@
 type Receiver interface {
 	// ReceiveEvidence is called with evidence from the VM of this region at the address peer.
 	ReceiveEvidence(peer string, e dispatch.Evidence)
-	// ReceiveHealthTransition is called with a health transition in another region.
+	// ReceiveHealthTransition is called with a health transition in another region, or with news that a backend server has
+	// told another VM about itself.
 	ReceiveHealthTransition(e dispatch.Evidence)
 	// ReceiveCrash is called with a request that broke the connection of a backend server.
 	ReceiveCrash(f poison.Fingerprint, server string)
@@ -169,7 +170,8 @@
 }
 
 // SendEvidence sends evidence to the VMs of the local region that serve its service, and to the VMs that recently sent
-// evidence on that service. VMs of other regions are sent health transitions only.
+// evidence on that service. VMs of other regions are sent health transitions only. News that a backend server says of itself
+// goes to all VMs.
 func (ep *Endpoint) SendEvidence(e dispatch.Evidence) {
 	datagram := encodeEvidence(e)
 	sent := map[string]bool{}
@@ -185,6 +187,20 @@
 	if e.IsHealthTransition {
 		ep.sendHealthTransition(e)
 	}
+	if e.IsNews {
+		ep.sendNews(e)
+	}
+}
+
+// sendNews sends what a backend server has newly said about itself to all registered VMs: any of them may get a request for
+// it at any time.
+func (ep *Endpoint) sendNews(e dispatch.Evidence) {
+	// Peers that share evidence have the outcome already and must not count it twice.
+	e.HasOutcome, e.IsTrial = false, false
+	datagram := encodeHealthTransition(e)
+	for _, m := range ep.fleet.RegisteredPeers() {
+		ep.send(m.PeerAddress, datagram)
+	}
 }
 
 func (ep *Endpoint) sendHealthTransition(e dispatch.Evidence) {
