mirror: deletions become certain at a fixed time after an outage, and only after one of other VMs too

Cause: any failed call of a reader, also one reset connection, made every deletion of the next 2.7 s tentative; it was then kept for another 2.7 s from when it was read, and again from when it was passed on to the next VM. Class of fault: a local symptom is taken for a fact about the whole system, and its time starts anew at each hand.

Change: an outage counts if the copy has been confirmed by nobody for as long as the store needs to drop a live owner's key (three heartbeats without one, less a retry). Deletions become certain at one moment, 2.7 s after the outage ended; a VM that passes one on says how much longer it is tentative.

Ruled out: counting from the first failed call of this VM alone; a VM whose path is cut fails for long while others read on.

Evidence: on the code before, a deletion read 0.1 s after one failed call still named the server 0.3 s later, and one read 2.5 s after an outage 3.0 s after it; TestDeletionBecomesCertainInTime has both. TestDeletionAroundOutageIsTentative and TestTentativeDeletionPropagates now state the outage's length, 5 s, where one failed call was enough; their checks are the same.

--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -8,8 +8,8 @@
 // using its last copy, which counts as stale. If the store has discarded the history that a watch needs, the store is
 // read in full again, and keys that no longer exist are reported as deleted.
 //
-// The store drops keys whose owners did not renew them, even while it is down itself. Deletions around an outage are
-// therefore tentative for a grace period, in which a live owner writes its key again.
+// The store drops keys whose owners did not renew them, even while it is down itself. Deletions after an outage that was long
+// enough for this are therefore tentative until a grace period after its end, in which a live owner writes its key again.
 package mirror
 
 import (
@@ -25,8 +25,9 @@
 // Entry is an item of a copy.
 type Entry struct {
 	kv.Item
-	// IsDoubted is set if the deletion is tentative: it may be due to an outage of the store.
-	IsDoubted bool
+	// TentativeFor is how much longer the deletion is tentative, as of when the entry is passed on. It is 0 for a deletion
+	// that is certain.
+	TentativeFor time.Duration `json:",omitempty"`
 }
 
 // Changes holds the entries of a copy that changed after a revision, and the revision up to which the copy is complete.
@@ -35,10 +36,6 @@
 	Revision uint64
 }
 
-// deletionGrace is how long deletions around an outage remain tentative. Live owners write their keys again within
-// about 2 s of the store's return; a failed call may be repeated up to 0.6 s after that.
-const deletionGrace = 2700 * time.Millisecond
-
 // Copy holds the items of the store and the revision up to which it is complete. It is safe for concurrent use.
 type Copy struct {
 	// apply receives changes in the order of the store, one call at a time.
@@ -49,8 +46,8 @@
 	revision uint64
 	// confirmed is the time at which the copy was last known to be complete.
 	confirmed time.Time
-	// tentativeDeletionsUntil is the time until which deletions reported by the store are considered tentative.
-	tentativeDeletionsUntil time.Time
+	// outage is the last outage of the store, as far as this VM has noticed it.
+	outage outage
 	// tentativeUntil holds the keys with a tentative deletion and the time at which it is applied, unless the key is
 	// written again.
 	tentativeUntil map[string]time.Time
@@ -84,22 +81,26 @@
 	}
 }
 
-// RecordOutage records that a call to the store has failed. Deletions are tentative for deletionGrace from now.
-func (c *Copy) RecordOutage(now time.Time) {
+// RecordFailure records that a call to the store has failed.
+func (c *Copy) RecordFailure(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.tentativeDeletionsUntil = now.Add(deletionGrace)
+	c.outage.recordFailure(c.confirmed, now)
 }
 
 // Since returns the entries that changed after a revision, in the order of their revisions. It includes deleted keys.
-func (c *Copy) Since(revision uint64) Changes {
+func (c *Copy) Since(revision uint64, now time.Time) Changes {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := Changes{Revision: c.revision}
-	for _, e := range c.entries {
-		if e.Revision > revision {
-			out.Entries = append(out.Entries, e)
+	for key, e := range c.entries {
+		if e.Revision <= revision {
+			continue
 		}
+		if until, isTentative := c.tentativeUntil[key]; isTentative {
+			e.TentativeFor = max(0, until.Sub(now))
+		}
+		out.Entries = append(out.Entries, e)
 	}
 	slices.SortFunc(out.Entries, byRevision)
 	return out
@@ -119,6 +120,7 @@
 func (c *Copy) Adopt(changes kv.Changes, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.outage.recordEnd(c.confirmed, now)
 	c.applyNewer(c.toEntries(changes.Items, now), now)
 	c.revision = max(c.revision, changes.Revision)
 	c.confirmed = now
@@ -138,6 +140,7 @@
 func (c *Copy) AdoptFull(read []kv.Item, revision uint64, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.outage.recordEnd(c.confirmed, now)
 	changes := slices.Clone(read)
 	missing := maps.Clone(c.entries)
 	for _, i := range read {
@@ -157,10 +160,14 @@
 
 // toEntries converts items and marks deletions as tentative while they may be due to an outage. The caller holds c.mu.
 func (c *Copy) toEntries(items []kv.Item, now time.Time) []Entry {
-	isTentative := now.Before(c.tentativeDeletionsUntil)
+	tentativeFor := max(0, c.outage.tentativeUntil().Sub(now))
 	out := make([]Entry, 0, len(items))
 	for _, i := range items {
-		out = append(out, Entry{Item: i, IsDoubted: i.Deleted && isTentative})
+		e := Entry{Item: i}
+		if i.Deleted {
+			e.TentativeFor = tentativeFor
+		}
+		out = append(out, e)
 	}
 	return out
 }
@@ -175,10 +182,10 @@
 			continue
 		}
 		// A deleted key keeps its revision, so that an older write of it is not applied as a new one.
-		c.entries[e.Key] = e
+		c.entries[e.Key] = Entry{Item: e.Item}
 		delete(c.tentativeUntil, e.Key)
-		if e.IsDoubted && known && !old.Deleted {
-			c.tentativeUntil[e.Key] = now.Add(deletionGrace)
+		if e.TentativeFor > 0 && known && !old.Deleted {
+			c.tentativeUntil[e.Key] = now.Add(e.TentativeFor)
 			continue
 		}
 		fresh = append(fresh, e.Item)
--- a/internal/mirror/copy_test.go
+++ b/internal/mirror/copy_test.go
@@ -28,6 +28,9 @@
 	return kv.Item{Key: key, Value: []byte(value), Revision: revision}
 }
 
+// longOutage is an outage in which the store may drop the keys of live owners.
+const longOutage = 5 * time.Second
+
 // TestDeletionAroundOutageIsTentative checks that a deletion read right after an outage of the store is applied only after
 // a grace time: the store drops entries whose owners could not renew them while it was down.
 func TestDeletionAroundOutageIsTentative(t *testing.T) {
@@ -49,8 +52,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			seen := recorder{}
 			c := mirror.NewCopy(seen.apply)
-			c.AdoptFull([]kv.Item{written("a", "1", 2)}, 2, start.Add(-time.Minute))
-			c.RecordOutage(start)
+			c.AdoptFull([]kv.Item{written("a", "1", 2)}, 2, start.Add(-longOutage))
+			c.RecordFailure(start)
 			c.AdoptFull(nil, 5, start)
 			test.then(c)
 			c.ApplyDueDeletions(start.Add(test.at))
@@ -65,16 +68,55 @@
 	start := time.Unix(1000, 0)
 	reader, follower := recorder{}, recorder{}
 	from, to := mirror.NewCopy(reader.apply), mirror.NewCopy(follower.apply)
-	from.AdoptFull([]kv.Item{written("a", "1", 2)}, 2, start)
-	to.AdoptFromPeer(from.Since(0), start)
-	from.RecordOutage(start)
+	from.AdoptFull([]kv.Item{written("a", "1", 2)}, 2, start.Add(-longOutage))
+	to.AdoptFromPeer(from.Since(0, start), start)
+	from.RecordFailure(start)
 	from.AdoptFull(nil, 5, start)
-	to.AdoptFromPeer(from.Since(to.Revision()), start)
+	to.AdoptFromPeer(from.Since(to.Revision(), start), start)
 	qt.Check(t, follower["a"], qt.Equals, "1")
 	to.ApplyDueDeletions(start.Add(time.Minute))
 	qt.Check(t, follower["a"], qt.Equals, "")
 }
 
+// TestDeletionBecomesCertainInTime guards against requests to backend servers that are gone, for seconds after their entries
+// were removed: because of a single failed call, since a deletion was read late after an outage, or since it was passed on.
+func TestDeletionBecomesCertainInTime(t *testing.T) {
+	const after = deletionGraceForTest
+	start := time.Unix(1000, 0)
+	tests := []struct {
+		name string
+		// outage is the length of the outage that ends at start, and readAt when the deletion is read after it.
+		outage, readAt time.Duration
+		gone           time.Duration
+	}{
+		{"one failed call", 1500 * time.Millisecond, 100 * time.Millisecond, 100 * time.Millisecond},
+		{"read late", longOutage, 2500 * time.Millisecond, after},
+		{"read after the grace time", longOutage, after, after},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			reader, follower := recorder{}, recorder{}
+			from, to := mirror.NewCopy(reader.apply), mirror.NewCopy(follower.apply)
+			from.AdoptFull([]kv.Item{written("a", "1", 2)}, 2, start.Add(-test.outage))
+			to.AdoptFromPeer(from.Since(0, start), start)
+			from.RecordFailure(start)
+			from.Adopt(kv.Changes{Revision: 3}, start)
+			readAt := start.Add(test.readAt)
+			from.Adopt(kv.Changes{Items: []kv.Item{{Key: "a", Revision: 5, Deleted: true}}, Revision: 5}, readAt)
+			passedOnAt := readAt.Add(50 * time.Millisecond)
+			to.AdoptFromPeer(from.Since(3, passedOnAt), passedOnAt)
+			for _, c := range []*mirror.Copy{from, to} {
+				c.ApplyDueDeletions(start.Add(test.gone))
+			}
+			qt.Check(t, reader, qt.HasLen, 0)
+			qt.Check(t, follower, qt.HasLen, 0)
+		})
+	}
+}
+
+// deletionGraceForTest is the time after an outage at which all deletions are certain: the users' 2 s and a repeated call.
+const deletionGraceForTest = 2700 * time.Millisecond
+
 // TestCopyConvergesOnNewestRevision checks that each key ends in its newest state, whatever mixture of old and new
 // views the copy adopts.
 func TestCopyConvergesOnNewestRevision(t *testing.T) {
--- a/internal/mirror/feed.go
+++ b/internal/mirror/feed.go
@@ -36,7 +36,7 @@
 // Serve passes the changes after a revision to send; after 0 that is the full copy. It returns ErrBusy if the transfer is
 // large while maxLargeTransfers are in progress.
 func (f *Feed) Serve(after uint64, send func(Changes) error) error {
-	changes := f.copy.Since(after)
+	changes := f.copy.Since(after, time.Now())
 	if after > 0 && !changes.IsLarge() {
 		return send(changes)
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -404,7 +404,7 @@
 }
 
 func (m *Mirror) recordFailure(err error) {
-	m.Copy.RecordOutage(time.Now())
+	m.Copy.RecordFailure(time.Now())
 	m.nextAttempt = time.Now().Add(unreachableRetryInterval + rand.N(unreachableRetryInterval/2))
 	if m.isStoreUnreachable.Swap(true) {
 		return
--- a/internal/vmpeer/feed_test.go
+++ b/internal/vmpeer/feed_test.go
@@ -27,13 +27,13 @@
 	address := server.Listener.Addr().String()
 	full, err := f.Fetch(t.Context(), address, 0)
 	c.Assert(err, qt.IsNil)
-	c.Check(full, qt.DeepEquals, copied.Since(0))
+	c.Check(full, qt.DeepEquals, copied.Since(0, time.Now()))
 
 	copied.Adopt(kv.Changes{Items: []kv.Item{{Key: "b", Value: []byte("y"), Revision: 4}}, Revision: 4}, time.Now())
 	later, err := f.Fetch(t.Context(), address, 3)
 	c.Assert(err, qt.IsNil)
 	c.Check(later.Entries, qt.HasLen, 1)
-	c.Check(later, qt.DeepEquals, copied.Since(3))
+	c.Check(later, qt.DeepEquals, copied.Since(3, time.Now()))
 }
 
 // TestLargeChangesAreCompressedAndServedToFew checks that large changes, such as a configuration with many routes, are
@@ -65,7 +65,7 @@
 		return err
 	})
 	c.Assert(err, qt.IsNil)
-	c.Check(changes, qt.DeepEquals, copied.Since(3))
+	c.Check(changes, qt.DeepEquals, copied.Since(3, time.Now()))
 	time.Sleep(100 * time.Millisecond)
 	err = feed.Serve(3, func(mirror.Changes) error {
 		return feed.Serve(3, func(mirror.Changes) error {
