dispatch: a VM without evidence asks which backend servers of a service are unhealthy

Cause: evidence goes to the VMs that serve a service. Any other VM that gets a request chooses with an unhealthy probability of 0.2 for all, also when its neighbours know better. Class of fault: a decision without the evidence that its neighbours have.

Change: without evidence for 3 s, the VM asks two VMs of its region that serve the service, by one datagram each, and waits at most 40 ms for the first answer, once in 3 s. The answer names the servers considered unhealthy, at most 80, and gives way to outcomes of the VM itself.

Ruled out: sending all health transitions to all VMs of a region; the traffic would grow with all services, 14,000 a second at the target size.

Evidence: TestVMWithoutCallersAvoidsUnhealthyServers, half of the servers unhealthy by turns: 21 of 40 requests failed before, at most 4 now.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -126,6 +126,9 @@
 	ShareEvidence func(Evidence)
 	// ShareCrash is called when a request has broken the connection of its backend server. It must not block.
 	ShareCrash func(f poison.Fingerprint, server string)
+	// AskHealth asks other VMs which backend servers of a service are unhealthy; they answer with ReceiveHealth. It reports
+	// whether there was a VM to ask, and must not block.
+	AskHealth func(service string) bool
 	// RetryRatio is the share of a service's requests that may be retried.
 	RetryRatio float64
 	// RetryWindow is the time over which retries are counted.
@@ -152,6 +155,9 @@
 
 // New returns a dispatcher without backend servers.
 func New(o Options) *Dispatcher {
+	if o.AskHealth == nil {
+		o.AskHealth = func(string) bool { return false }
+	}
 	if o.Connect == nil {
 		o.Connect = o.connectTCP(backend.NewByteBudget(answerMemoryBytes))
 	}
@@ -226,6 +232,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, loop.deadline)
 	defer cancel()
+	s.ensureEvidence(ctx, time.Now())
 	return loop.run(ctx)
 }
 
--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -92,6 +92,7 @@
 // observe updates the estimates with an outcome and reports whether it changed the state of the backend server from
 // healthy to unhealthy or back. The caller must hold the service's lock.
 func (s *service) observe(srv *server, outcome evidence.Outcome, took time.Duration, now time.Time) (isTransition bool) {
+	s.evidenceAt = now
 	weight := 1.0
 	if mayBePathFault(outcome) {
 		weight = pathOutcomeWeight
--- /dev/null
+++ b/internal/dispatch/question_test.go
@@ -0,0 +1,92 @@
+package dispatch_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/primroseladder/primroseladder/internal/dispatch"
+	"github.com/primroseladder/primroseladder/internal/poison"
+	"github.com/primroseladder/primroseladder/internal/roster"
+	"github.com/primroseladder/primroseladder/internal/route"
+)
+
+// TestVMWithoutCallersAvoidsUnhealthyServers guards against a VM that seldom gets a request and chooses among unhealthy backend
+// servers as if nothing were known, although other VMs of its region know them: routes that were added seem not to be served.
+func TestVMWithoutCallersAvoidsUnhealthyServers(t *testing.T) {
+	const (
+		requests = 40
+		// episode is how long half of the backend servers stay unhealthy, and pause the time between two requests.
+		episode = 25 * time.Second
+		pause   = 17 * time.Second
+		// maxFailed is a tenth of the requests, as for the users' floor.
+		maxFailed = requests / 10
+	)
+	synctest.Test(t, func(t *testing.T) {
+		s := newSim(t, 18, route.NonIdempotent, true)
+		for i, server := range s.servers {
+			server.failing = func(at time.Duration) float64 {
+				if (i+int(at/episode))%2 == 0 {
+					return 0.9
+				}
+				return healthyFailureShare
+			}
+		}
+		var idle *dispatch.Dispatcher
+		idle = dispatch.New(dispatch.Options{
+			Zone: "a", Region: "r", Regions: map[string]string{"a": "r", "b": "r"}, Protocol: simProtocol, Log: zerolog.Nop(),
+			Connect:       func(to roster.Server, _ int) dispatch.ConnectionPool { return simPath{s.server(to.ID), "idle"} },
+			ShareEvidence: func(dispatch.Evidence) {}, ShareCrash: func(poison.Fingerprint, string) {},
+			RetryAllowance: func(string) float64 { return 0 },
+			AskHealth: func(service string) bool {
+				go func() {
+					time.Sleep(3 * time.Millisecond)
+					if servers, ok := s.vms[0].UnhealthyServers(service); ok {
+						idle.ReceiveHealth(service, servers)
+					}
+				}()
+				return true
+			},
+		})
+		idle.Update(s.list(), nil)
+		go s.load(60, requests*pause+10*time.Second)
+		time.Sleep(5 * time.Second)
+		failed := 0
+		for n := range requests {
+			result := idle.Do(context.Background(), s.request(n))
+			if result.Outcome != dispatch.Answered || result.Answer.Status != http.StatusOK {
+				failed++
+			}
+			time.Sleep(pause)
+		}
+		qt.Check(t, failed <= maxFailed, qt.IsTrue, qt.Commentf("%d of %d requests failed", failed, requests))
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestQuestionWithoutAnswerDelaysOnce checks that requests do not wait for other VMs again and again while none answers.
+func TestQuestionWithoutAnswerDelaysOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asked := 0
+		d := dispatch.New(dispatch.Options{
+			Zone: "a", Region: "r", Regions: map[string]string{"a": "r"}, Protocol: simProtocol, Log: zerolog.Nop(),
+			Connect:       func(roster.Server, int) dispatch.ConnectionPool { return instantPool{} },
+			ShareEvidence: func(dispatch.Evidence) {}, ShareCrash: func(poison.Fingerprint, string) {},
+			RetryAllowance: func(string) float64 { return 0 },
+			AskHealth:      func(string) bool { asked++; return true },
+		})
+		d.Update(map[string][]roster.Server{simService: {{ID: "i-1", Service: simService, Zone: "a", Slots: 4}}}, nil)
+		target := newSim(t, 0, route.NonIdempotent, false).target
+		began := time.Now()
+		for range 10 {
+			d.Do(context.Background(), &dispatch.Request{Header: http.Header{}, Target: target, Service: simService, Arrival: time.Now()})
+		}
+		qt.Check(t, asked, qt.Equals, 1)
+		qt.Check(t, time.Since(began), qt.Equals, 40*time.Millisecond)
+	})
+}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -86,6 +86,9 @@
 	recent     failureWindow
 	budget     retryBudget
 	nextOpenID uint64
+	// evidenceAt is when this VM last got evidence on the service, of its own or from other VMs.
+	evidenceAt time.Time
+	question   healthQuestion
 	// hadServers is set once the service has had backend servers. Those added later have joined a running service.
 	hadServers bool
 	// isSpreading is set while many requests fail, see updateSpreading.
--- a/internal/evidence/estimate.go
+++ b/internal/evidence/estimate.go
@@ -149,6 +149,15 @@
 	e.applyLogRatio(now, logRatios[o]*weight)
 }
 
+// Adopt replaces the estimate by that of another VM unless it is based on an outcome younger than maxAge.
+func (e *HealthEstimate) Adopt(now time.Time, unhealthy float64, maxAge time.Duration) {
+	if !e.updatedAt.IsZero() && now.Sub(e.updatedAt) < maxAge {
+		return
+	}
+	e.decayEpisodes(now)
+	e.unhealthy, e.updatedAt = min(max(unhealthy, minUnhealthy), maxUnhealthy), now
+}
+
 // applyLogRatio shifts the estimate by a log likelihood ratio.
 func (e *HealthEstimate) applyLogRatio(now time.Time, logRatio float64) {
 	p := min(max(e.UnhealthyProbability(now), minUnhealthy), maxUnhealthy)
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -97,6 +97,7 @@
 			endpoint.SendEvidence(e)
 		},
 		ShareCrash: func(f poison.Fingerprint, server string) { endpoint.SendCrash(f, server) },
+		AskHealth:  endpoint.AskHealth,
 		RetryRatio: s.RetryRatio, RetryWindow: s.RetryWindow, RetryAllowance: g.RetryAllowance, Log: log,
 	})
 }
--- a/internal/vmpeer/codec.go
+++ b/internal/vmpeer/codec.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/primroseladder/primroseladder/internal/dispatch"
@@ -30,6 +31,8 @@
 	kindHealthTransition datagramKind = 4
 	kindSilenceReport    datagramKind = 5
 	kindProbe            datagramKind = 6
+	kindHealthQuestion   datagramKind = 7
+	kindHealthAnswer     datagramKind = 8
 )
 
 const (
@@ -136,6 +139,37 @@
 	return dispatch.Statement{IsLeaving: in[0]&leavingBit != 0, Incarnation: int64(binary.BigEndian.Uint64(in[1:]))}, nil
 }
 
+// encodeHealthQuestion encodes a question which backend servers of a service are unhealthy.
+func encodeHealthQuestion(service string) []byte {
+	return appendName([]byte{byte(kindHealthQuestion)}, service)
+}
+
+// encodeHealthAnswer encodes, after the kind, the name of the service, and for each backend server its name and its unhealthy
+// probability in 255ths (1 byte).
+func encodeHealthAnswer(service string, servers []dispatch.ServerHealth) []byte {
+	out := appendName([]byte{byte(kindHealthAnswer)}, service)
+	for _, s := range servers {
+		out = append(appendName(out, s.Server), byte(s.Unhealthy*math.MaxUint8))
+	}
+	return out
+}
+
+func decodeHealthAnswer(body []byte) (service string, servers []dispatch.ServerHealth, err error) {
+	service, rest, err := decodeName(body)
+	for err == nil && len(rest) > 0 {
+		var h dispatch.ServerHealth
+		if h.Server, rest, err = decodeName(rest); err != nil {
+			break
+		}
+		if len(rest) == 0 {
+			return service, nil, fmt.Errorf("decode health answer: the probability of %q is missing", h.Server)
+		}
+		h.Unhealthy, rest = float64(rest[0])/math.MaxUint8, rest[1:]
+		servers = append(servers, h)
+	}
+	return service, servers, err
+}
+
 func encodeCrash(c crash) []byte {
 	out := binary.BigEndian.AppendUint64([]byte{byte(kindCrash)}, uint64(c.fingerprint))
 	return appendName(out, c.server)
--- a/internal/vmpeer/endpoint.go
+++ b/internal/vmpeer/endpoint.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,6 +39,10 @@
 	ReceiveHealthTransition(e dispatch.Evidence)
 	// ReceiveCrash is called with a request that broke the connection of a backend server.
 	ReceiveCrash(f poison.Fingerprint, server string)
+	// UnhealthyServers returns the unhealthy backend servers of a service. ok is false if this VM has no evidence on them.
+	UnhealthyServers(service string) (servers []dispatch.ServerHealth, ok bool)
+	// ReceiveHealth is called with the answer to a question of this VM.
+	ReceiveHealth(service string, unhealthy []dispatch.ServerHealth)
 }
 
 // Groups provides the peer addresses of the other VMs that serve a service.
@@ -149,6 +155,18 @@
 			to.ReceiveHealthTransition(e)
 		}
 		return err
+	case kindHealthQuestion:
+		service, _, err := decodeName(body)
+		if servers, ok := to.UnhealthyServers(service); ok {
+			ep.send(from.String(), encodeHealthAnswer(service, servers))
+		}
+		return err
+	case kindHealthAnswer:
+		service, servers, err := decodeHealthAnswer(body)
+		if err == nil {
+			to.ReceiveHealth(service, servers)
+		}
+		return err
 	case kindCrash:
 		c, err := decodeCrash(body)
 		if err == nil {
@@ -226,6 +244,21 @@
 	return out
 }
 
+// maxAskedVMs is how many VMs are asked at a time, since a datagram may be lost.
+const maxAskedVMs = 2
+
+// AskHealth asks VMs that serve a service in the local region which of its backend servers are unhealthy. It reports whether
+// there is such a VM.
+func (ep *Endpoint) AskHealth(service string) bool {
+	addresses := slices.Clone(ep.groups.LocalAddresses(service))
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	addresses = addresses[:min(len(addresses), maxAskedVMs)]
+	for _, address := range addresses {
+		ep.send(address, encodeHealthQuestion(service))
+	}
+	return len(addresses) > 0
+}
+
 // SendCrash reports a request that broke the connection of a backend server to all registered VMs.
 func (ep *Endpoint) SendCrash(f poison.Fingerprint, server string) {
 	datagram := encodeCrash(crash{fingerprint: f, server: server})
--- a/internal/vmpeer/zone_test.go
+++ b/internal/vmpeer/zone_test.go
@@ -116,6 +116,10 @@
 func (discardReceiver) ReceiveHealthTransition(dispatch.Evidence) {}
 func (discardReceiver) ReceiveCrash(poison.Fingerprint, string)   {}
 
+func (discardReceiver) UnhealthyServers(string) ([]dispatch.ServerHealth, bool) { return nil, false }
+
+func (discardReceiver) ReceiveHealth(string, []dispatch.ServerHealth) {}
+
 // testZone is a zone of VMs, each of which has read the registrations of all.
 type testZone struct {
 	net *testNet
