dispatch: all VMs of a region share the limit that a backend server names

Cause: no code read Server-Limit, and each VM chose by its own costs. Class of fault: a limit of the whole, with each part deciding for itself.

Change: each VM of a region counts its own requests to the server, when it sends them, and those of the others, whose start they announce already. All see nearly one count; two VMs that send at the same moment overdraw it, and the next request waits. A VM outside the service's group, which hears of no other VM's requests, leaves a limited server alone. A limit ends with an answer without it to a request sent since it was last named. Changes are told to all VMs, once a second for each server at most.

Ruled out: equal parts of all VMs (a part below one request in a window at a limit of 1), each VM for itself (sum too high), leases handed between VMs (a lost lease stops the use for its length), few users chosen by hash (a burst at one VM finds no server).

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -2,7 +2,9 @@
 
 import (
 	"maps"
+	"math"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/primroseladder/primroseladder/internal/logevent"
@@ -25,6 +27,9 @@
 // advice is what one incarnation of a backend server has said about itself in its answers.
 type advice struct {
 	isLeaving bool
+	limit     sharedLimit
+	// limitToldAt is when other VMs were last told of a change of the limit.
+	limitToldAt time.Time
 	// heardAt is when the backend server last said something about itself.
 	heardAt time.Time
 }
@@ -35,11 +40,25 @@
 	Incarnation int64
 	// IsLeaving is set if the backend server is about to stop.
 	IsLeaving bool
+	// Limit is the number of requests a second that the backend server takes from all VMs together, 0 if it names none.
+	Limit float64
+	// HasNoLimit is set in an answer that names no limit.
+	HasNoLimit bool
 }
 
 // readStatement returns what the backend server that was sent the request says about itself in the answer.
 func readStatement(answer http.Header, p *Protocol, incarnation int64) Statement {
-	return Statement{Incarnation: incarnation, IsLeaving: answer.Get(p.Leaving) == "1"}
+	out := Statement{Incarnation: incarnation, IsLeaving: answer.Get(p.Leaving) == "1"}
+	named := answer.Get(p.Limit)
+	if named == "" {
+		out.HasNoLimit = true
+		return out
+	}
+	// An unusable value leaves the limit as it was.
+	if limit, err := strconv.ParseFloat(named, 64); err == nil && limit >= 0 && !math.IsInf(limit, 0) {
+		out.Limit = max(limit, minLimit)
+	}
+	return out
 }
 
 // adviceFor returns the advice of an incarnation, which may be unknown so far. The caller must hold the service's lock.
@@ -52,22 +71,55 @@
 	return known
 }
 
-// adopt applies a statement of the backend server id and reports whether it was news. The caller must hold the service's
-// lock.
-func (s *service) adopt(id string, said Statement, now time.Time) (isNews bool) {
-	if !said.IsLeaving {
+// adopt applies what the backend server id said in its answer to a request that was sent at the given time. It reports
+// whether other VMs should be told at once. The caller must hold the service's lock.
+func (s *service) adopt(id string, said Statement, sent, now time.Time) (isNews bool) {
+	i := incarnation{id, said.Incarnation}
+	if !said.IsLeaving && said.Limit == 0 && s.advice[i] == nil {
 		return false
 	}
-	known := s.adviceFor(incarnation{id, said.Incarnation}, now)
+	known := s.adviceFor(i, now)
 	known.heardAt = now
-	if known.isLeaving {
+	isNews = s.adoptLimit(id, known, said, sent, now)
+	if said.IsLeaving && !known.isLeaving {
+		known.isLeaving, isNews = true, true
+		logevent.BackendLeaving.Log(s.options.Log).Str("service", s.name).Str("server", id).Send()
+	}
+	return isNews
+}
+
+// limitNewsInterval is how often other VMs are told of changes of one backend server's limit. VMs that share evidence hear
+// of every change.
+const limitNewsInterval = time.Second
+
+func (s *service) adoptLimit(id string, known *advice, said Statement, sent, now time.Time) (isNews bool) {
+	isChanged := false
+	switch {
+	case said.Limit > 0:
+		zone := ""
+		if srv := s.servers[id]; srv != nil {
+			zone = srv.Zone
+		}
+		isChanged = known.limit.name(said.Limit*s.regionPart(zone), now)
+	case said.HasNoLimit && known.limit.isNamed() && sent.After(known.limit.namedAt):
+		// A request that was sent before the limit was named may have been answered before it too.
+		known.limit.lift()
+		isChanged = true
+	}
+	if !isChanged || now.Sub(known.limitToldAt) < limitNewsInterval {
 		return false
 	}
-	known.isLeaving = true
-	logevent.BackendLeaving.Log(s.options.Log).Str("service", s.name).Str("server", id).Send()
+	known.limitToldAt = now
+	logevent.BackendLimited.Log(s.options.Log).Str("service", s.name).Str("server", id).Float64("limit", said.Limit).Send()
 	return true
 }
 
+// wasLimited reports whether the incarnation has ever named a limit. The caller must hold the service's lock.
+func (s *service) wasLimited(id string, startedAt int64) bool {
+	known := s.advice[incarnation{id, startedAt}]
+	return known != nil && !known.limitToldAt.IsZero()
+}
+
 // expireAdvice removes old advice of backend servers that are not in the list. The caller must hold the service's lock.
 func (s *service) expireAdvice(now time.Time) {
 	maps.DeleteFunc(s.advice, func(i incarnation, a *advice) bool {
@@ -76,5 +128,19 @@
 	})
 }
 
-// acceptsRequests reports whether the backend server may be sent requests.
-func (srv *server) acceptsRequests() bool { return !srv.IsDraining && !srv.advice.isLeaving }
+// isLeaving reports whether the backend server is about to stop.
+func (srv *server) isLeaving() bool { return srv.IsDraining || srv.advice.isLeaving }
+
+// admission returns how long it takes until the backend server may be sent a request by this VM. ok is false if it never may.
+// Every request to a backend server, also a retry or a trial, passes this check. The caller must hold the service's lock.
+func (s *service) admission(srv *server, now time.Time) (wait time.Duration, ok bool) {
+	if srv.isLeaving() {
+		return 0, false
+	}
+	limit := &srv.advice.limit
+	if limit.isNamed() && !s.options.Serves(s.name) {
+		// Other VMs do not tell this one of their requests.
+		return 0, false
+	}
+	return limit.wait(now), true
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -84,6 +84,8 @@
 	Server  string
 	// Open is the number of requests that the sending VM has open at the backend server.
 	Open int
+	// IsStart is set if the request has just been sent.
+	IsStart bool
 	// HasOutcome is set if the request has ended.
 	HasOutcome bool
 	Outcome    evidence.Outcome
@@ -101,7 +103,7 @@
 
 // Protocol holds the names of the headers that are exchanged with backend servers.
 type Protocol struct {
-	RequestID, DeadlineMS, Signature, ExpectedInstance, NotExecuted, Leaving string
+	RequestID, DeadlineMS, Signature, ExpectedInstance, NotExecuted, Leaving, Limit string
 }
 
 // ConnectionPool holds this VM's connections to one backend server.
@@ -126,6 +128,8 @@
 	ShareEvidence func(Evidence)
 	// ShareCrash is called when a request has broken the connection of its backend server. It must not block.
 	ShareCrash func(f poison.Fingerprint, server string)
+	// Serves reports whether this VM is one of those that serve a service and tell each other of their requests.
+	Serves func(service string) bool
 	// AskHealth asks other VMs which backend servers of a service are unhealthy; they answer with ReceiveHealth. It reports
 	// whether there was a VM to ask, and must not block.
 	AskHealth func(service string) bool
@@ -155,6 +159,9 @@
 
 // New returns a dispatcher without backend servers.
 func New(o Options) *Dispatcher {
+	if o.Serves == nil {
+		o.Serves = func(string) bool { return true }
+	}
 	if o.AskHealth == nil {
 		o.AskHealth = func(string) bool { return false }
 	}
--- a/internal/dispatch/floor.go
+++ b/internal/dispatch/floor.go
@@ -94,7 +94,7 @@
 	}
 	var probabilities []float64
 	for _, srv := range s.servers {
-		if srv.acceptsRequests() && s.options.Regions[srv.Zone] == s.options.Region {
+		if !srv.isLeaving() && s.options.Regions[srv.Zone] == s.options.Region {
 			probabilities = append(probabilities, srv.unhealthyProbability(now))
 		}
 	}
--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -30,7 +30,8 @@
 	s.nextOpenID++
 	chosen.open[s.nextOpenID] = now
 	chosen.lastUsed = now
-	s.options.ShareEvidence(Evidence{Service: s.name, Server: chosen.ID, Open: len(chosen.open)})
+	chosen.advice.limit.count(now)
+	s.options.ShareEvidence(Evidence{Service: s.name, Server: chosen.ID, Open: len(chosen.open), IsStart: true})
 	return &reservation{
 		service: s, server: chosen, id: chosen.ID, pool: chosen.pool, said: Statement{Incarnation: chosen.Incarnation}, openID: s.nextOpenID, started: now,
 		isTrial: c.isTrial, unhealthyProbability: chosen.estimate.UnhealthyProbability(now),
@@ -49,7 +50,11 @@
 	took := now.Sub(r.started)
 	r.server.observePath(outcome, now)
 	isTransition := s.observe(r.server, outcome, took, now)
-	isNews := s.adopt(r.id, r.said, now)
+	isNews := s.adopt(r.id, r.said, r.started, now)
+	if !s.wasLimited(r.id, r.said.Incarnation) {
+		// Nobody needs to hear that there is still no limit.
+		r.said.HasNoLimit = false
+	}
 	s.countOutcome(outcome, r.isTrial, now)
 	if bytes > 0 {
 		s.updateMeanBytes(float64(bytes))
@@ -154,12 +159,15 @@
 func (s *service) receiveEvidence(peer string, e Evidence, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.adopt(e.Server, e.Statement, now)
+	s.adopt(e.Server, e.Statement, now.Add(-e.Took), now)
 	srv := s.servers[e.Server]
 	if srv == nil {
 		return
 	}
 	srv.peerOpen[peer] = peerCount{open: e.Open, at: now}
+	if e.IsStart {
+		srv.advice.limit.count(now)
+	}
 	if !e.HasOutcome {
 		srv.lastUsed = now
 		return
@@ -173,7 +181,7 @@
 func (s *service) receiveHealthTransition(e Evidence, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.adopt(e.Server, e.Statement, now)
+	s.adopt(e.Server, e.Statement, now.Add(-e.Took), now)
 	if srv := s.servers[e.Server]; srv != nil && e.HasOutcome {
 		s.observe(srv, e.Outcome, e.Took, now)
 	}
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -54,7 +54,7 @@
 }
 
 // pick reserves the backend server with the lowest expected cost. It returns nil if none can start the request before
-// the deadline; wait is then the shortest expected time until a slot is free, or 0 without any candidate. Near backend
+// the deadline; wait is then the shortest expected time until one can, or 0 without any candidate. Near backend
 // servers come first, so that most others are passed over by their minimum cost: assessing all of them for each request
 // takes half a millisecond in a service of 650.
 func (s *service) pick(
@@ -62,9 +62,14 @@
 ) (res *reservation, wait time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var best, shortestWait choice
+	var best choice
+	var shortestWait earliest
 	for _, candidate := range s.byDistance {
-		if !candidate.acceptsRequests() || tried[candidate.ID] {
+		if tried[candidate.ID] {
+			continue
+		}
+		if wait, ok := s.admission(candidate, now); !ok || wait > 0 {
+			shortestWait.add(wait)
 			continue
 		}
 		if best.server != nil && s.minCost(candidate, r.Target, now) >= best.cost {
@@ -74,16 +79,23 @@
 		if c.canStartInTime && (best.server == nil || c.cost < best.cost) {
 			best = c
 		}
-		if shortestWait.server == nil || c.wait < shortestWait.wait {
-			shortestWait = c
-		}
+		shortestWait.add(c.wait)
 	}
 	if best.server == nil {
-		return nil, shortestWait.wait
+		return nil, time.Duration(shortestWait)
 	}
 	return s.reserve(best, now), 0
 }
 
+// earliest is the shortest of the waits that were added, 0 if there is none.
+type earliest time.Duration
+
+func (e *earliest) add(wait time.Duration) {
+	if wait > 0 && (*e == 0 || wait < time.Duration(*e)) {
+		*e = earliest(wait)
+	}
+}
+
 // minCost returns a lower limit of the cost of a backend server that needs no estimate: that of its distance and of the
 // failures of a healthy server. It is minus infinity for a server that may get a bonus.
 func (s *service) minCost(srv *server, t *route.Target, now time.Time) float64 {
--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -82,7 +82,7 @@
 // simProtocol names the headers of the simulation.
 var simProtocol = dispatch.Protocol{
 	RequestID: "X-Id", DeadlineMS: "X-Deadline", Signature: "X-Signature", ExpectedInstance: "X-Instance",
-	NotExecuted: "X-Not-Executed",
+	NotExecuted: "X-Not-Executed", Leaving: "X-Leaving", Limit: "X-Limit",
 }
 
 // newSim returns one VM in each of two zones of a region, and n healthy backend servers.
--- a/internal/gateway/groups.go
+++ b/internal/gateway/groups.go
@@ -51,6 +51,9 @@
 // RemoteAddresses returns the peer addresses of the VMs of other regions that serve a service.
 func (g *Groups) RemoteAddresses(service string) []string { return g.get(service).remoteAddresses }
 
+// Serves reports whether this VM serves a service.
+func (g *Groups) Serves(service string) bool { return g.get(service).includesSelf }
+
 // dividedSlackShare is the share of Settings.RetrySlack that is divided among the VMs that serve a service. The rest
 // covers the unused retries that each of them may accumulate.
 const dividedSlackShare = 0.8
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -91,13 +91,14 @@
 		Protocol: dispatch.Protocol{
 			RequestID: h.RequestID, DeadlineMS: h.DeadlineMS, Signature: h.Signature,
 			ExpectedInstance: h.ExpectedInstance, NotExecuted: h.NotExecuted, Leaving: h.Leaving,
+			Limit: h.Limit,
 		},
 		ShareEvidence: func(e dispatch.Evidence) {
 			m.RecordSentEvidence(e)
 			endpoint.SendEvidence(e)
 		},
 		ShareCrash: func(f poison.Fingerprint, server string) { endpoint.SendCrash(f, server) },
-		AskHealth:  endpoint.AskHealth,
+		Serves:     g.Serves, AskHealth: endpoint.AskHealth,
 		RetryRatio: s.RetryRatio, RetryWindow: s.RetryWindow, RetryAllowance: g.RetryAllowance, Log: log,
 	})
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -101,6 +101,8 @@
 	NotExecuted string
 	// Leaving is set to "1" by backend servers that are about to stop.
 	Leaving string
+	// Limit is the number of requests a second that a backend server takes from all VMs together.
+	Limit string
 	// Instance identifies the backend server that answers.
 	Instance string
 }
--- a/internal/vmpeer/codec.go
+++ b/internal/vmpeer/codec.go
@@ -36,8 +36,9 @@
 )
 
 const (
-	// noOutcome is sent in place of an outcome when a request starts.
-	noOutcome = 0xff
+	// noOutcome is sent in place of an outcome when a request starts, releasedOutcome when it ends without one.
+	noOutcome       = 0xff
+	releasedOutcome = noOutcome &^ trialBit
 	// trialBit is set in the outcome of a trial.
 	trialBit = 0x80
 )
@@ -80,8 +81,11 @@
 // duration in milliseconds (4 bytes, big endian), and the names of the service and the backend server. What the backend server
 // says about itself follows if it says anything: see appendStatement.
 func encodeEvidence(e dispatch.Evidence) []byte {
-	out := []byte{byte(kindEvidence), byte(min(e.Open, 255)), noOutcome}
-	if e.HasOutcome {
+	out := []byte{byte(kindEvidence), byte(min(e.Open, 255)), releasedOutcome}
+	switch {
+	case e.IsStart:
+		out[2] = noOutcome
+	case e.HasOutcome:
 		out[2] = byte(e.Outcome)
 	}
 	if e.IsTrial {
@@ -97,7 +101,7 @@
 	if len(body) < 6 {
 		return dispatch.Evidence{}, fmt.Errorf("decode evidence: body of %d bytes is shorter than the minimum of 6", len(body))
 	}
-	e := dispatch.Evidence{Open: int(body[0])}
+	e := dispatch.Evidence{Open: int(body[0]), IsStart: body[1] == noOutcome}
 	if body[1]|trialBit != noOutcome {
 		e.HasOutcome, e.Outcome, e.IsTrial = true, evidence.Outcome(body[1]&^trialBit), body[1]&trialBit != 0
 		if e.Outcome >= evidence.NumOutcomes {
@@ -117,26 +121,58 @@
 	return e, err
 }
 
-// leavingBit is set in the first byte of a statement of a backend server that leaves.
-const leavingBit = 0x01
+// Flags in the first byte of a statement.
+const (
+	leavingBit = 0x01
+	// limitBit is set if the limit follows the incarnation (8 bytes, IEEE 754, big endian).
+	limitBit   = 0x02
+	noLimitBit = 0x04
+)
 
-// appendStatement appends a statement as one byte of flags and the incarnation of the backend server (8 bytes, big endian).
-// It appends nothing if the backend server says nothing about itself.
+// appendStatement appends a statement as one byte of flags, the incarnation of the backend server (8 bytes, big endian) and
+// its limit, if it names one. It appends nothing if the backend server says nothing about itself.
 func appendStatement(out []byte, s dispatch.Statement) []byte {
-	if !s.IsLeaving {
+	var flags byte
+	if s.IsLeaving {
+		flags |= leavingBit
+	}
+	if s.Limit > 0 {
+		flags |= limitBit
+	}
+	if s.HasNoLimit {
+		flags |= noLimitBit
+	}
+	if flags == 0 {
 		return out
 	}
-	return binary.BigEndian.AppendUint64(append(out, leavingBit), uint64(s.Incarnation))
+	out = binary.BigEndian.AppendUint64(append(out, flags), uint64(s.Incarnation))
+	if s.Limit > 0 {
+		out = binary.BigEndian.AppendUint64(out, math.Float64bits(s.Limit))
+	}
+	return out
 }
 
 func decodeStatement(in []byte) (dispatch.Statement, error) {
 	if len(in) == 0 {
 		return dispatch.Statement{}, nil
 	}
-	if len(in) < 9 {
-		return dispatch.Statement{}, fmt.Errorf("decode statement: %d bytes are fewer than the minimum of 9", len(in))
+	size := 9
+	if in[0]&limitBit != 0 {
+		size = 17
+	}
+	if len(in) < size {
+		return dispatch.Statement{}, fmt.Errorf("decode statement: %d bytes are fewer than the minimum of %d", len(in), size)
+	}
+	out := dispatch.Statement{
+		IsLeaving: in[0]&leavingBit != 0, HasNoLimit: in[0]&noLimitBit != 0, Incarnation: int64(binary.BigEndian.Uint64(in[1:])),
+	}
+	if size > 9 {
+		out.Limit = math.Float64frombits(binary.BigEndian.Uint64(in[9:]))
+		if !(out.Limit > 0) || math.IsInf(out.Limit, 0) {
+			return dispatch.Statement{}, fmt.Errorf("decode statement: limit %v is not a positive number", out.Limit)
+		}
 	}
-	return dispatch.Statement{IsLeaving: in[0]&leavingBit != 0, Incarnation: int64(binary.BigEndian.Uint64(in[1:]))}, nil
+	return out, nil
 }
 
 // encodeHealthQuestion encodes a question which backend servers of a service are unhealthy.
--- a/internal/vmpeer/codec_test.go
+++ b/internal/vmpeer/codec_test.go
@@ -14,9 +14,12 @@
 func TestEvidenceRoundTrip(t *testing.T) {
 	for _, e := range []dispatch.Evidence{
 		{Service: "s", Server: "i-1", Open: 3},
+		{Service: "s", Server: "i-1", Open: 3, IsStart: true},
 		{Service: "s", Server: "i-1", HasOutcome: true, Outcome: evidence.Hung, Took: 1500 * time.Millisecond},
 		{Service: "s", Server: "i-1", HasOutcome: true, Outcome: evidence.Failure, IsTrial: true},
 		{Service: "s", Server: "i-1", HasOutcome: true, Outcome: evidence.UsualFailure, IsTrial: true},
+		{Service: "s", Server: "i-1", HasOutcome: true, Statement: dispatch.Statement{Limit: 0.25, Incarnation: 7}},
+		{Service: "s", Server: "i-1", HasOutcome: true, Statement: dispatch.Statement{HasNoLimit: true, Incarnation: 7}},
 		{Service: "s", Server: "i-1", HasOutcome: true, Statement: dispatch.Statement{IsLeaving: true, Incarnation: 1_767_225_600_123}},
 	} {
 		got, err := decodeEvidence(encodeEvidence(e)[1:])
