dispatch: the answer to a question about health names healthy backend servers too

Cause: VMs that serve a service send little to unhealthy servers, so what they know of these fades within seconds; the answer named few. What they know best is which servers have just succeeded.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -130,7 +130,7 @@
 	ShareCrash func(f poison.Fingerprint, server string)
 	// Serves reports whether this VM is one of those that serve a service and tell each other of their requests.
 	Serves func(service string) bool
-	// AskHealth asks other VMs which backend servers of a service are unhealthy; they answer with ReceiveHealth. It reports
+	// AskHealth asks other VMs which backend servers of a service are healthy; they answer with ReceiveHealth. It reports
 	// whether there was a VM to ask, and must not block.
 	AskHealth func(service string) bool
 	// RetryRatio is the share of a service's requests that may be retried.
--- a/internal/dispatch/question.go
+++ b/internal/dispatch/question.go
@@ -15,9 +15,10 @@
 	evidenceLifetime = 3 * time.Second
 	// healthAnswerWait is how long a request waits for what other VMs know. A round trip inside a region takes 3 ms.
 	healthAnswerWait = 40 * time.Millisecond
-	// maxReportedServers limits the backend servers in one answer, which has to fit into a datagram.
-	maxReportedServers = 80
-	// minReportedUnhealthy is the unhealthy probability from which a backend server is reported.
+	// maxReportedServers limits the healthy and the unhealthy backend servers in one answer, which has to fit into a datagram.
+	maxReportedServers = 40
+	// maxReportedHealthy and minReportedUnhealthy bound the unhealthy probabilities that say more than that nothing is known.
+	maxReportedHealthy   = 0.12
 	minReportedUnhealthy = 0.35
 )
 
@@ -34,7 +35,7 @@
 	answered chan struct{}
 }
 
-// ensureEvidence asks the VMs that serve the service which backend servers are unhealthy, unless this VM has evidence of its
+// ensureEvidence asks the VMs that serve the service which backend servers are healthy and which are not, unless this VM has evidence of its
 // own, and waits for the first answer. Without it, a VM that seldom gets requests would choose among unhealthy backend
 // servers as if nothing were known.
 func (s *service) ensureEvidence(ctx context.Context, now time.Time) {
@@ -58,9 +59,9 @@
 	}
 }
 
-// UnhealthyServers returns the backend servers of a service that are likely to be unhealthy, the likeliest first. It returns
-// false if this VM has no evidence on the service itself.
-func (d *Dispatcher) UnhealthyServers(service string) ([]ServerHealth, bool) {
+// KnownHealth returns the backend servers of a service that are most likely healthy, and those most likely unhealthy. It
+// returns false if this VM has no evidence on the service itself.
+func (d *Dispatcher) KnownHealth(service string) ([]ServerHealth, bool) {
 	s := d.service(service)
 	if s == nil {
 		return nil, false
@@ -71,18 +72,23 @@
 	if now.Sub(s.evidenceAt) >= evidenceLifetime {
 		return nil, false
 	}
-	var out []ServerHealth
+	var healthy, unhealthy []ServerHealth
 	for id, srv := range s.servers {
-		if p := srv.estimate.UnhealthyProbability(now); p >= minReportedUnhealthy {
-			out = append(out, ServerHealth{id, p})
+		switch p := srv.estimate.UnhealthyProbability(now); {
+		case p <= maxReportedHealthy:
+			healthy = append(healthy, ServerHealth{id, p})
+		case p >= minReportedUnhealthy:
+			unhealthy = append(unhealthy, ServerHealth{id, p})
 		}
 	}
-	slices.SortFunc(out, func(a, b ServerHealth) int { return cmp.Compare(b.Unhealthy, a.Unhealthy) })
-	return out[:min(len(out), maxReportedServers)], true
+	slices.SortFunc(healthy, func(a, b ServerHealth) int { return cmp.Compare(a.Unhealthy, b.Unhealthy) })
+	slices.SortFunc(unhealthy, func(a, b ServerHealth) int { return cmp.Compare(b.Unhealthy, a.Unhealthy) })
+	healthy = healthy[:min(len(healthy), maxReportedServers)]
+	return append(healthy, unhealthy[:min(len(unhealthy), maxReportedServers)]...), true
 }
 
 // ReceiveHealth applies the answer of another VM to a question of this one.
-func (d *Dispatcher) ReceiveHealth(service string, unhealthy []ServerHealth) {
+func (d *Dispatcher) ReceiveHealth(service string, known []ServerHealth) {
 	s := d.service(service)
 	if s == nil {
 		return
@@ -90,7 +96,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, h := range unhealthy {
+	for _, h := range known {
 		if srv := s.servers[h.Server]; srv != nil {
 			srv.estimate.Adopt(now, h.Unhealthy, evidenceLifetime)
 		}
--- a/internal/dispatch/question_test.go
+++ b/internal/dispatch/question_test.go
@@ -16,9 +16,9 @@
 	"github.com/primroseladder/primroseladder/internal/route"
 )
 
-// TestVMWithoutCallersAvoidsUnhealthyServers guards against a VM that seldom gets a request and chooses among unhealthy backend
+// TestVMWithoutCallersAvoidsKnownHealth guards against a VM that seldom gets a request and chooses among unhealthy backend
 // servers as if nothing were known, although other VMs of its region know them: routes that were added seem not to be served.
-func TestVMWithoutCallersAvoidsUnhealthyServers(t *testing.T) {
+func TestVMWithoutCallersAvoidsKnownHealth(t *testing.T) {
 	const (
 		requests = 40
 		// episode is how long half of the backend servers stay unhealthy, and pause the time between two requests.
@@ -46,7 +46,7 @@
 			AskHealth: func(service string) bool {
 				go func() {
 					time.Sleep(3 * time.Millisecond)
-					if servers, ok := s.vms[0].UnhealthyServers(service); ok {
+					if servers, ok := s.vms[0].KnownHealth(service); ok {
 						idle.ReceiveHealth(service, servers)
 					}
 				}()
--- a/internal/vmpeer/codec.go
+++ b/internal/vmpeer/codec.go
@@ -175,7 +175,7 @@
 	return out, nil
 }
 
-// encodeHealthQuestion encodes a question which backend servers of a service are unhealthy.
+// encodeHealthQuestion encodes a question which backend servers of a service are healthy.
 func encodeHealthQuestion(service string) []byte {
 	return appendName([]byte{byte(kindHealthQuestion)}, service)
 }
--- a/internal/vmpeer/endpoint.go
+++ b/internal/vmpeer/endpoint.go
@@ -39,10 +39,10 @@
 	ReceiveHealthTransition(e dispatch.Evidence)
 	// ReceiveCrash is called with a request that broke the connection of a backend server.
 	ReceiveCrash(f poison.Fingerprint, server string)
-	// UnhealthyServers returns the unhealthy backend servers of a service. ok is false if this VM has no evidence on them.
-	UnhealthyServers(service string) (servers []dispatch.ServerHealth, ok bool)
+	// KnownHealth returns what this VM knows of the health of a service's backend servers. ok is false if it has no evidence.
+	KnownHealth(service string) (servers []dispatch.ServerHealth, ok bool)
 	// ReceiveHealth is called with the answer to a question of this VM.
-	ReceiveHealth(service string, unhealthy []dispatch.ServerHealth)
+	ReceiveHealth(service string, known []dispatch.ServerHealth)
 }
 
 // Groups provides the peer addresses of the other VMs that serve a service.
@@ -157,7 +157,7 @@
 		return err
 	case kindHealthQuestion:
 		service, _, err := decodeName(body)
-		if servers, ok := to.UnhealthyServers(service); ok {
+		if servers, ok := to.KnownHealth(service); ok {
 			ep.send(from.String(), encodeHealthAnswer(service, servers))
 		}
 		return err
@@ -247,7 +247,7 @@
 // maxAskedVMs is how many VMs are asked at a time, since a datagram may be lost.
 const maxAskedVMs = 2
 
-// AskHealth asks VMs that serve a service in the local region which of its backend servers are unhealthy. It reports whether
+// AskHealth asks VMs that serve a service in the local region which of its backend servers are healthy. It reports whether
 // there is such a VM.
 func (ep *Endpoint) AskHealth(service string) bool {
 	addresses := slices.Clone(ep.groups.LocalAddresses(service))
