backend: a refusal without a request id on a kept connection is no proof that the request has not run

What operators of other systems saw: a backend server wrote an earlier refusal once more; callers were told 'not run, try again' for requests that had run (REFUSED), or such a request ran at a second one (TWICE). It could happen here.

Class of fault: a promise rests on a message of which it isn't certain whom it concerns.

Change: such an answer is marked. It can't prove that the request has not run; the outcome is unknown, an idempotent request is repeated. What it says of the backend server itself is ignored too. A refusal with the id of another request was skipped before.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -44,6 +44,9 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// MayBelongToAnother is set if the answer carries no request ID and is not the first one on its connection: it may be a
+	// copy of an earlier answer.
+	MayBelongToAnother bool
 }
 
 // Causes of a failed attempt. Pool.Do returns them wrapped in an AttemptError.
@@ -212,9 +215,10 @@
 	if isMismatched {
 		return nil, false, nil
 	}
+	mayBelongToAnother := id == "" && c.isReused
 	c.isReused = true
 	c.maxIdle = min(c.options.MaxIdle, advertisedIdleTime(resp.Header))
-	answer := &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}
+	answer := &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, MayBelongToAnother: mayBelongToAnother}
 	return answer, !resp.Close && !isUnframed && id != "" && c.reader.Buffered() == 0, nil
 }
 
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -124,12 +124,16 @@
 	}
 	a.sent++
 	p := &a.dispatcher.options.Protocol
-	if answer.Status != http.StatusMisdirectedRequest {
+	if answer.Status != http.StatusMisdirectedRequest && !answer.MayBelongToAnother {
 		res.said = readStatement(answer.Header, p, res.said.Incarnation)
 		res.pause = readPause(answer.Status, answer.Header, time.Now())
 	}
 	switch {
-	case answer.Status == http.StatusMisdirectedRequest || answer.Header.Get(p.NotExecuted) != "":
+	case isRefusal(answer, p) && answer.MayBelongToAnother:
+		// Whether this request has run is unknown.
+		res.complete(evidence.Garbled, 0)
+		return a.setUnknown(reasonGarbled)
+	case isRefusal(answer, p):
 		res.complete(evidence.Shed, 0)
 		return a.setNotRun(reasonShed, stepRetry)
 	case isUnusableAnswer(answer, p):
@@ -146,6 +150,11 @@
 	return stepFinish
 }
 
+// isRefusal reports whether a backend server says that it has not run the request.
+func isRefusal(answer *backend.Answer, p *Protocol) bool {
+	return answer.Status == http.StatusMisdirectedRequest || answer.Header.Get(p.NotExecuted) != ""
+}
+
 // isUnusableAnswer reports whether an answer cannot be passed on: a success without the signature of the backend
 // server, a body with a content encoding that was not requested, or a status that callers take as proof that the
 // request has not run, although it may have.
