Test: an answer cut in its header is never taken for a whole one

It does not happen here: six headers, cut after each byte, with and without a length, chunked, folded, and behind a 100, are all errors, also where answers without a length are accepted.

--- a/internal/backend/answer_test.go
+++ b/internal/backend/answer_test.go
@@ -178,3 +178,22 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(pool.OpenConns(), qt.Equals, 0)
 }
+
+// TestAnswerCutInItsHeader guards against an answer whose header was cut off, after any of its bytes, and that was taken for a
+// whole answer with an empty or a short body.
+func TestAnswerCutInItsHeader(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\n" + ownID + "\r\n",
+		"HTTP/1.1 200 OK\r\n" + ownID + "Content-Length: 12\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n" + ownID + "Content-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n" + ownID + "Transfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 200 OK\n" + ownID + "X-Long:  a\r\n b\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + ownID + "\r\n",
+	} {
+		for end := range head {
+			peer := newRawPeer(t, func(*http.Request, string, int) (string, bool) { return head[:end], true })
+			answer, err := newLenientPool(peer.address()).Do(context.Background(), newRequest("own", http.MethodPost, "in"))
+			qt.Check(t, err, qt.IsNotNil, qt.Commentf("cut after %q: %v", head[:end], answer))
+		}
+	}
+}
