dispatch: only VMs that serve a service try its idle backend servers

Cause: such a VM hears evidence for a few seconds after its own request, so the service is busy to it, but not when its backend servers were last used. All of them look idle and get the bonus that keeps servers in service. Class of fault: a decision for the whole fleet, made where the fleet is not seen.

Change: trials are for the VMs of the service's group.

Evidence: TestVMOutsideTheGroupMakesNoTrials, one trial before, none now; a VM that serves makes it as before.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -140,7 +140,7 @@
 		return 0, false
 	}
 	limit := &srv.advice.limit
-	if limit.isNamed() && !s.options.Serves(s.name) {
+	if limit.isNamed() && !s.isServing {
 		// Other VMs do not tell this one of their requests.
 		return 0, false
 	}
--- a/internal/dispatch/floor.go
+++ b/internal/dispatch/floor.go
@@ -46,8 +46,11 @@
 
 // isIdle reports whether a backend server may get a request of the target as a trial: it is in the local region, it has had
 // no request for idleAfter or repeatableIdleAfter and has none of this VM open, and no connection to it failed within
-// unreachablePause.
+// unreachablePause. Trials are for the VMs that serve the service: any other does not hear when a backend server was last used.
 func (s *service) isIdle(srv *server, t *route.Target, now time.Time) bool {
+	if !s.isServing {
+		return false
+	}
 	limit := idleAfter
 	if canRepairFailure(t) {
 		limit = repeatableIdleAfter
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -62,6 +62,7 @@
 ) (res *reservation, wait time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.isServing = s.options.Serves(s.name)
 	var best choice
 	var shortestWait earliest
 	for _, candidate := range s.byDistance {
--- a/internal/dispatch/question_test.go
+++ b/internal/dispatch/question_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/primroseladder/primroseladder/internal/dispatch"
+	"github.com/primroseladder/primroseladder/internal/evidence"
 	"github.com/primroseladder/primroseladder/internal/poison"
 	"github.com/primroseladder/primroseladder/internal/roster"
 	"github.com/primroseladder/primroseladder/internal/route"
@@ -90,3 +91,38 @@
 		qt.Check(t, time.Since(began), qt.Equals, 40*time.Millisecond)
 	})
 }
+
+// TestVMOutsideTheGroupMakesNoTrials guards against a VM that does not serve a service and takes its backend servers for idle,
+// since it does not hear when they were used: its few requests went to servers that are likely unhealthy.
+func TestVMOutsideTheGroupMakesNoTrials(t *testing.T) {
+	for _, isServing := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			tried := 0
+			d := dispatch.New(dispatch.Options{
+				Zone: "a", Region: "r", Regions: map[string]string{"a": "r"}, Protocol: simProtocol, Log: zerolog.Nop(),
+				Connect: func(roster.Server, int) dispatch.ConnectionPool { return instantPool{} },
+				ShareEvidence: func(e dispatch.Evidence) {
+					if e.IsStart && e.Server == "i-2" {
+						tried++
+					}
+				},
+				ShareCrash: func(poison.Fingerprint, string) {}, RetryAllowance: func(string) float64 { return 0 },
+				Serves: func(string) bool { return isServing },
+			})
+			list := []roster.Server{{ID: "i-1", Service: simService, Zone: "a", Slots: 4}, {ID: "i-2", Service: simService, Zone: "a", Slots: 4}}
+			d.Update(map[string][]roster.Server{simService: list}, nil)
+			hear := func(server string, o evidence.Outcome) {
+				d.ReceiveEvidence("peer", dispatch.Evidence{Service: simService, Server: server, HasOutcome: true, Outcome: o, Took: time.Second})
+			}
+			hear("i-2", evidence.Shed)
+			time.Sleep(2 * time.Second)
+			target := newSim(t, 0, route.NonIdempotent, false).target
+			for range 20 {
+				hear("i-1", evidence.Success)
+				d.Do(context.Background(), &dispatch.Request{Header: http.Header{}, Target: target, Service: simService, Arrival: time.Now()})
+				time.Sleep(20 * time.Millisecond)
+			}
+			qt.Check(t, tried > 0, qt.Equals, isServing, qt.Commentf("serving: %t, %d trials", isServing, tried))
+		})
+	}
+}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -91,6 +91,8 @@
 	question   healthQuestion
 	// hadServers is set once the service has had backend servers. Those added later have joined a running service.
 	hadServers bool
+	// isServing is set if this VM is one of those that serve the service, as of the last pick.
+	isServing bool
 	// isSpreading is set while many requests fail, see updateSpreading.
 	isSpreading bool
 	// cachedInServiceLimit is the result of inServiceLimit at inServiceLimitAt.
