ingress: one configuration for a request from its header to its answer; a cut body is never taken for a whole one

Cause: the limits of the body were asked for twice. Without a configuration the connection read one byte and passed it on without an error; with the configuration that had come meanwhile the handler took it for the whole body.

Change: the routes are attached to the request once its header is read; a body over its limit ends with an error; a connection that ends before 100 Continue gives the handler nothing to read; log lines carry length and checksum of the body.

Ruled out: raising the limit without a configuration, which leaves the second judgement in place.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -267,20 +267,26 @@
 	limit, timeout := c.server.options.BodyLimits(r)
 	_ = c.raw.SetReadDeadline(time.Now().Add(timeout))
 	if r.Header.Get("Expect") == "100-continue" && !c.sendContinue() {
+		// The connection has ended. Only this goroutine may read it.
+		r.Body = io.NopCloser(failingReader{net.ErrClosed})
 		return false
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	e.bodyBytes = len(body)
+	isTooLarge := err == nil && int64(len(body)) > limit
+	if isTooLarge {
+		err = &http.MaxBytesError{Limit: limit}
+	}
 	source := io.Reader(bytes.NewReader(body))
 	if err != nil {
 		source = io.MultiReader(source, failingReader{err})
 	}
-	if err != nil && !isTimeout(err) {
+	if err != nil && !isTimeout(err) && !isTooLarge {
 		// The caller has left, or has sent what is not a body.
 		e.cancel()
 	}
 	r.Body = io.NopCloser(source)
-	return err == nil && int64(len(body)) <= limit
+	return err == nil
 }
 
 // failingReader is a reader that fails.
--- a/internal/callerconn/exchange.go
+++ b/internal/callerconn/exchange.go
@@ -41,7 +41,11 @@
 
 func newExchange(c *conn, r *http.Request) *exchange {
 	ctx, cancel := context.WithCancel(context.WithValue(c.ctx, arrivalKey{}, time.Now()))
-	return &exchange{conn: c, request: r.WithContext(ctx), cancel: cancel}
+	r = r.WithContext(ctx)
+	if prepare := c.server.options.Prepare; prepare != nil {
+		r = prepare(r)
+	}
+	return &exchange{conn: c, request: r, cancel: cancel}
 }
 
 // id returns the id of the request.
--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -30,6 +30,8 @@
 	Handler http.Handler
 	// MayOverlap reports whether a request may run before the earlier requests of its connection are answered.
 	MayOverlap func(*http.Request) bool
+	// Prepare returns the request as all other functions and the handler are to see it. It is called once the header is read.
+	Prepare func(*http.Request) *http.Request
 	// BodyLimits returns the maximum size of the body of a request, and the time within which it must be received.
 	BodyLimits func(*http.Request) (bytes int64, within time.Duration)
 	// RequestIDHeader is the header with the id of a request, for the log.
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -63,7 +63,7 @@
 ) *callerServer {
 	return &callerServer{settings: p.Settings, state: state, registrar: r, announce: announce, log: log, server: callerconn.NewServer(
 		callerconn.Options{
-			Handler: handler, MayOverlap: handler.MayOverlap, BodyLimits: handler.BodyLimits, IsClosing: state.IsLeaving,
+			Handler: handler, Prepare: handler.Prepare, MayOverlap: handler.MayOverlap, BodyLimits: handler.BodyLimits, IsClosing: state.IsLeaving,
 			RequestIDHeader:   p.Headers.RequestID,
 			ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, UnusedTimeout: unusedTimeout,
 			WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes, MaxPending: maxPending,
--- /dev/null
+++ b/internal/ingress/body_test.go
@@ -0,0 +1,157 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"github.com/primroseladder/primroseladder/internal/callerconn"
+	"github.com/primroseladder/primroseladder/internal/dispatch"
+	"github.com/primroseladder/primroseladder/internal/ingress"
+	"github.com/primroseladder/primroseladder/internal/route"
+)
+
+// recordingDispatcher records the requests that it receives.
+type recordingDispatcher struct {
+	mu       sync.Mutex
+	received []*dispatch.Request
+}
+
+func (d *recordingDispatcher) Do(_ context.Context, r *dispatch.Request) dispatch.Result {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.received = append(d.received, r)
+	return dispatch.Result{Outcome: dispatch.NotRun}
+}
+
+// take returns the requests received so far and forgets them.
+func (d *recordingDispatcher) take() []*dispatch.Request {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := d.received
+	d.received = nil
+	return out
+}
+
+// serveCallers serves callers' connections as a gateway does.
+func serveCallers(t *testing.T, d ingress.Dispatcher, awaitTable func(context.Context) *route.Table) string {
+	handler := ingress.NewHandler(headers, awaitTable, d, func(string, dispatch.Result, time.Duration) {}, ingress.NewRates(), zerolog.Nop())
+	server := callerconn.NewServer(callerconn.Options{
+		Handler: handler, Prepare: handler.Prepare, MayOverlap: handler.MayOverlap, BodyLimits: handler.BodyLimits,
+		IsClosing: func() bool { return false }, ReadHeaderTimeout: time.Second, IdleTimeout: time.Second, UnusedTimeout: time.Second,
+		WriteTimeout: time.Second, MaxHeaderBytes: 1 << 16, MaxPending: 16, MaxPendingBytes: 1 << 20, Log: zerolog.Nop(),
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	go server.Serve(listener)
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = server.Shutdown(ctx)
+	})
+	return listener.Addr().String()
+}
+
+func tableWithBodyLimit(limit int64) *route.Table {
+	return route.NewTable(&route.Config{Limits: route.Limits{MaxBodyBytes: limit, MaxHeaderBytes: 4096}, Routes: []route.Route{{
+		Name: "r", Host: "h", Prefix: "/x/", Timeout: time.Second, MaxAttempts: 1, Shares: []route.Share{{Service: "s", Weight: 1}},
+	}}}, nil)
+}
+
+// TestConfigurationThatArrivesMeanwhileCutsNoBody guards against a body of which only the first byte, or as much as an older
+// limit allows, was read before a configuration came into force and that was then forwarded as if it were whole.
+func TestConfigurationThatArrivesMeanwhileCutsNoBody(t *testing.T) {
+	for _, first := range []*route.Table{nil, tableWithBodyLimit(4)} {
+		c := qt.New(t)
+		d := &recordingDispatcher{}
+		var mu sync.Mutex
+		asked := 0
+		address := serveCallers(t, d, func(context.Context) *route.Table {
+			mu.Lock()
+			defer mu.Unlock()
+			if asked++; asked == 1 {
+				return first
+			}
+			return tableWithBodyLimit(100)
+		})
+		response, _ := exchange(t, address, "POST /x/1 HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nContent-Length: 10\r\n\r\n0123456789")
+		for _, r := range d.take() {
+			c.Check(string(r.Body), qt.Equals, "0123456789")
+		}
+		if first == nil {
+			c.Check(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		}
+	}
+}
+
+// TestRequestsArriveUnchanged sends random requests, framed by a length or in chunks, in pieces of random sizes and partly
+// pipelined, and guards against one that is forwarded with another method, target, id or body.
+func TestRequestsArriveUnchanged(t *testing.T) {
+	d := &recordingDispatcher{}
+	address := serveCallers(t, d, func(context.Context) *route.Table { return tableWithBodyLimit(1 << 16) })
+	type sent struct{ id, method, uri, body string }
+	rapid.Check(t, func(rt *rapid.T) {
+		var requests []sent
+		var raw strings.Builder
+		for n := range rapid.IntRange(1, 4).Draw(rt, "requests") {
+			s := sent{
+				id: fmt.Sprint("id", n), method: rapid.SampledFrom([]string{"GET", "POST", "PUT", "DELETE"}).Draw(rt, "method"),
+				uri:  "/x/" + rapid.StringMatching(`[a-z0-9/._-]{0,20}(\?[a-z0-9=&]{0,20})?`).Draw(rt, "uri"),
+				body: rapid.StringMatching(`[ -~\r\n]{0,300}`).Draw(rt, "body"),
+			}
+			requests = append(requests, s)
+			fmt.Fprintf(&raw, "%s %s HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\n", s.method, s.uri, s.id)
+			if rapid.Bool().Draw(rt, "chunked") {
+				raw.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+				for rest := s.body; rest != ""; {
+					size := rapid.IntRange(1, len(rest)).Draw(rt, "chunk")
+					fmt.Fprintf(&raw, "%x\r\n%s\r\n", size, rest[:size])
+					rest = rest[size:]
+				}
+				raw.WriteString("0\r\n\r\n")
+			} else {
+				fmt.Fprintf(&raw, "Content-Length: %d\r\n\r\n%s", len(s.body), s.body)
+			}
+		}
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			rt.Fatal(err)
+		}
+		defer conn.Close()
+		go func() {
+			for rest := raw.String(); rest != ""; {
+				size := min(len(rest), 1+len(rest)*7919%97)
+				_, _ = io.WriteString(conn, rest[:size])
+				rest = rest[size:]
+			}
+		}()
+		reader := bufio.NewReader(conn)
+		for range requests {
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				rt.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, response.Body)
+		}
+		received := d.take()
+		if len(received) != len(requests) {
+			rt.Fatalf("%d of %d requests arrived", len(received), len(requests))
+		}
+		for i, r := range received {
+			if got := (sent{r.ID, r.Method, r.URI, string(r.Body)}); got != requests[i] {
+				rt.Fatalf("sent %q, arrived as %q", requests[i], got)
+			}
+		}
+	})
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"hash/crc32"
 	"io"
 	"net"
 	"net/http"
@@ -72,7 +73,7 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrival := callerconn.Arrival(r.Context())
-	table := h.awaitTable(r.Context())
+	table := h.tableOf(r)
 	if table == nil {
 		h.refuse(w, r, "no configuration is known", retryAfterNoConfig)
 		return
@@ -91,13 +92,30 @@
 	h.respond(w, request, h.dispatch.Do(r.Context(), request))
 }
 
+// tableKey is the context key of the routes by which a request is handled.
+type tableKey struct{}
+
+// Prepare returns the request with the routes in force attached to its context. All further decisions on the request are made
+// by these, so that a configuration that comes into force meanwhile changes none of them halfway.
+func (h *Handler) Prepare(r *http.Request) *http.Request {
+	return r.WithContext(context.WithValue(r.Context(), tableKey{}, h.awaitTable(r.Context())))
+}
+
+// tableOf returns the routes by which a request is handled, or nil if no configuration was known when it was prepared.
+func (h *Handler) tableOf(r *http.Request) *route.Table {
+	if table, isPrepared := r.Context().Value(tableKey{}).(*route.Table); isPrepared {
+		return table
+	}
+	return h.awaitTable(r.Context())
+}
+
 // BodyLimits returns the maximum size in bytes of the body of a request, and the time within which it must be received.
 func (h *Handler) BodyLimits(r *http.Request) (bytes int64, within time.Duration) {
 	within = defaultBodyTimeout
 	if ms, err := strconv.ParseInt(r.Header.Get(h.headers.DeadlineMS), 10, 64); err == nil && ms >= 0 {
 		within = time.Duration(ms) * time.Millisecond
 	}
-	table := h.awaitTable(r.Context())
+	table := h.tableOf(r)
 	if table == nil {
 		return 0, within
 	}
@@ -110,7 +128,7 @@
 // MayOverlap reports whether a request may run before earlier requests of its connection are answered: if it is
 // idempotent. Should the connection close before its turn, its caller sends any other request again as well.
 func (h *Handler) MayOverlap(r *http.Request) bool {
-	table := h.awaitTable(r.Context())
+	table := h.tableOf(r)
 	if table == nil {
 		return false
 	}
@@ -133,7 +151,8 @@
 	line := func(e logevent.Event) *zerolog.Event {
 		return e.Log(h.log).Str("request", r.ID).Str("route", r.Target.Name).Str("service", r.Service).
 			Uint64("config", r.ConfigVersion).Str("server", result.Server).Float64("sick", result.UnhealthyProbability).
-			Bool("trial", result.IsTrial).Int("attempts", result.Attempts).Dur("took_ms", took)
+			Bool("trial", result.IsTrial).Int("attempts", result.Attempts).Dur("took_ms", took).Int("body_bytes", len(r.Body)).
+			Uint32("body_crc32", crc32.ChecksumIEEE(r.Body))
 	}
 	switch result.Outcome {
 	case dispatch.Answered:
