gateway: a planned stop refuses requests that could outlast the process

What operators of other systems saw: in a planned stop, requests that came late in the grace were taken and passed on, and cut with no answer at its end (LOST). It could happen here.

Cause: after 2.8 s the VM accepts no connection, but one that is open and unused may send its first request for a second more, and one with a slow header or body later. With the route's time limit above what was left, the process ended first.

Change: from then on a request that is read is refused as not run, with Retry-After. Those that came before are finished as they were.

Ruled out: refusing by the route's time limit from the start of the stop, which turns away requests that nearly all fit.

Evidence: TestPlannedStopRefusesWhatItCannotFinish got no answer (unexpected EOF) before, 503 at once now.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -240,3 +241,36 @@
 	c.Check(<-stopped, qt.IsNil)
 	c.Check(time.Since(began) < 1500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
 }
+
+// TestPlannedStopRefusesWhatItCannotFinish guards against requests that come late in a planned stop, are passed on, and are cut
+// with no answer when the process ends, although their backend server is still running them.
+func TestPlannedStopRefusesWhatItCannotFinish(t *testing.T) {
+	const late = 3300 * time.Millisecond
+	c := qt.New(t)
+	store := kvtest.New()
+	released := make(chan struct{})
+	defer close(released)
+	store.Put("servers/i-1", newBackendServer(t, released))
+	store.Put("config", "1")
+	s, app := startGateway(t, store.Client())
+	waitFor(t, 2*time.Second, "ready", func() bool {
+		status, _ := get(s.ReadyListen, "/ready", "")
+		return status == http.StatusOK
+	})
+	began := time.Now()
+	stopped := make(chan error, 1)
+	go func() { stopped <- app.Stop(context.Background()) }()
+	time.Sleep(late - 700*time.Millisecond)
+	conn, err := net.Dial("tcp", s.CallerListen)
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	time.Sleep(time.Until(began.Add(late)))
+	_, err = io.WriteString(conn, "GET /1 HTTP/1.1\r\nHost: h\r\nX-Id: late\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(response.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	c.Check(time.Since(began) < late+500*time.Millisecond, qt.IsTrue)
+	c.Check(<-stopped, qt.IsNil)
+}
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -82,13 +82,14 @@
 }
 
 // stop announces that the VM is leaving, accepts connections for lingerTime, in which callers move to other VMs, and then
-// waits for the requests in flight until graceMargin before the end of the grace time.
+// refuses further requests and waits for those in flight until graceMargin before the end of the grace time.
 func (c *callerServer) stop(ctx context.Context) error {
 	began := time.Now()
 	c.state.isLeaving.Store(true)
 	c.announce()
 	go c.deregister()
 	periodic.Pause(ctx, lingerTime)
+	c.state.isEnding.Store(true)
 	ctx, cancel := context.WithDeadline(ctx, began.Add(c.settings.Get().Grace-graceMargin))
 	defer cancel()
 	return c.server.Shutdown(ctx)
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -184,7 +184,7 @@
 	handler := ingress.NewHandler(ingress.Headers{
 		RequestID: p.Headers.RequestID, DeadlineMS: p.Headers.DeadlineMS,
 		Internal: []string{p.Headers.ExpectedInstance, p.Headers.NotExecuted, p.Headers.Instance, p.Headers.Signature},
-	}, state.AwaitTable, in.Dispatcher, in.Metrics.RecordRequest, in.Rates, log)
+	}, state.AwaitTable, state.IsEnding, in.Dispatcher, in.Metrics.RecordRequest, in.Rates, log)
 	// fx stops hooks in reverse order: the callers' listener must stop first, while the other components still run.
 	lc.Append(newCallerServer(p, state, in.Registrar, handler, endpoint.Announce, log).hook())
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -48,6 +48,9 @@
 	// isLeaving is set when a planned stop begins.
 	isLeaving atomic.Bool
 
+	// isEnding is set when a planned stop takes no further requests, since they could outlast the process.
+	isEnding atomic.Bool
+
 	// mu serializes changes.
 	mu sync.Mutex
 }
@@ -85,6 +88,9 @@
 // IsReady reports whether the VM accepts callers.
 func (s *State) IsReady() bool { return s.Table() != nil && !s.isLeaving.Load() }
 
+// IsEnding reports whether a planned stop takes no further requests.
+func (s *State) IsEnding() bool { return s.isEnding.Load() }
+
 // IsLeaving reports whether a planned stop has begun.
 func (s *State) IsLeaving() bool { return s.isLeaving.Load() }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -42,7 +42,9 @@
 	headers Headers
 	// awaitTable returns the routes in force, or nil if no configuration is known.
 	awaitTable func(context.Context) *route.Table
-	dispatch   Dispatcher
+	// isEnding reports whether the process is about to end and takes no further requests.
+	isEnding func() bool
+	dispatch Dispatcher
 	// recordResult is called with the result of each request that was dispatched.
 	recordResult func(service string, r dispatch.Result, took time.Duration)
 	// rates counts the requests of each host.
@@ -51,14 +53,14 @@
 }
 
 // NewHandler returns a Handler. awaitTable returns the routes in force, or nil if no configuration is known; it may wait
-// for the first one. recordResult is called with the service, the result and the duration of each request that was
+// for the first one. isEnding reports whether requests are refused because the process is about to end. recordResult is called with the service, the result and the duration of each request that was
 // dispatched.
 func NewHandler(
-	h Headers, awaitTable func(context.Context) *route.Table, d Dispatcher,
+	h Headers, awaitTable func(context.Context) *route.Table, isEnding func() bool, d Dispatcher,
 	recordResult func(string, dispatch.Result, time.Duration), rates *Rates, log zerolog.Logger,
 ) *Handler {
 	return &Handler{
-		headers: h, awaitTable: awaitTable, dispatch: d, recordResult: recordResult, rates: rates, log: log,
+		headers: h, awaitTable: awaitTable, isEnding: isEnding, dispatch: d, recordResult: recordResult, rates: rates, log: log,
 	}
 }
 
@@ -66,6 +68,8 @@
 	// retryAfterNoConfig is the retry delay while no configuration is known. A VM that starts gets the configuration
 	// within the first second.
 	retryAfterNoConfig = 500 * time.Millisecond
+	// retryAfterStopping is the retry delay while this VM stops. Other VMs serve at once.
+	retryAfterStopping = minRetryAfter
 	// defaultBodyTimeout limits the time to receive the body of a request without a deadline.
 	defaultBodyTimeout = 10 * time.Second
 )
@@ -78,6 +82,10 @@
 		h.refuse(w, r, "no configuration is known", retryAfterNoConfig)
 		return
 	}
+	if h.isEnding() {
+		h.refuse(w, r, "the VM is stopping", retryAfterStopping)
+		return
+	}
 	target := table.Find(requestHost(r), r.URL.Path)
 	if target == nil {
 		h.reject(w, r, http.StatusNotFound, "no route")
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -40,8 +40,10 @@
 	}}}, nil)
 }
 
+func neverEnding() bool { return false }
+
 func serve(t *testing.T, d *scriptedDispatcher, table func(context.Context) *route.Table) string {
-	handler := ingress.NewHandler(headers, table, d,
+	handler := ingress.NewHandler(headers, table, neverEnding, d,
 		func(string, dispatch.Result, time.Duration) {}, ingress.NewRates(), zerolog.Nop())
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
