soak: backend servers leave, name limits and turn requests away by their answers

Backend servers say all three in series, beside the other faults; the soak checks from what they and the callers see: no request later than the drain time after a VM has passed on an answer that says so, no window above one and a half times the limit and five from VMs that had been told, at most two requests in a named pause.

The check of DRAIN by the store now asks that the store was undisturbed when it accepted the removal, as the users' rule does.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -58,6 +58,7 @@
 	toServer     *link.Direction
 	fromServer   *link.Direction
 	disturbances *disturbances
+	advice       advice
 
 	behaviour atomic.Int32
 	slots     chan struct{}
@@ -119,6 +120,12 @@
 		return
 	}
 	b.checkArrival(r, id, string(body))
+	if sent := b.ledger.request(id); sent != nil {
+		b.checkAdvice(sent)
+		if b.turnAway(w, sent.vm) {
+			return
+		}
+	}
 	if b.queued.Add(1) > maxQueued {
 		b.queued.Add(-1)
 		b.reject(w, http.StatusServiceUnavailable)
@@ -184,6 +191,7 @@
 
 func (b *backendServer) sign(w http.ResponseWriter, id string) {
 	w.Header().Set(b.headers.Signature, signatureOf(b.ID, id))
+	b.say(w.Header())
 }
 
 func (b *backendServer) answer(w http.ResponseWriter, id string, mode behaviour) {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -160,6 +160,9 @@
 func (d *deployment) checkAnswer(r *request, response *http.Response, body string) {
 	id, signature := response.Header.Get(d.headers.RequestID), response.Header.Get(d.headers.Signature)
 	isSuccess := response.StatusCode < http.StatusMultipleChoices
+	if server := d.ledger.serverOf(r.id, signature); server != nil {
+		server.recordPassedOn(r.vm, response.Header)
+	}
 	if id != r.id {
 		d.ledger.recordViolation("MIXED: request %s received the answer of %q", r.id, id)
 	}
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -27,7 +27,10 @@
 			id, b.ID, b.Service, configApplyBound)
 	}
 	drainStored := b.drainStored.Load()
-	if wasUndisturbed && drainStored != 0 && now.Sub(time.Unix(0, drainStored)) > drainBound {
+	// The bound holds for what the store accepted while it was stable: entries removed in an outage may be back soon after it.
+	isStored := drainStored != 0 &&
+		sent.vm.storeDisturbances.isUndisturbed(time.Unix(0, drainStored).Add(-contactBound), time.Unix(0, drainStored), true)
+	if wasUndisturbed && isStored && now.Sub(time.Unix(0, drainStored)) > drainBound {
 		l.recordViolation("DRAIN: request %s reached %s %v after the store had accepted its draining or removal",
 			id, b.ID, now.Sub(time.Unix(0, drainStored)))
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -67,6 +67,9 @@
 func (d *deployment) injectFaults() {
 	var wait sync.WaitGroup
 	end := time.Now().Add(d.options.Duration)
+	if !d.options.IsWithoutAdvice {
+		wait.Go(func() { d.injectAdvice(end) })
+	}
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(d.random.ExpFloat64() * float64(meanFaultInterval)))
 		kind := faultKinds[d.random.IntN(len(faultKinds))]
@@ -293,6 +296,7 @@
 	}
 	if draw.IntN(3) > 0 {
 		b.IsDraining = true
+		b.advice.isLeaving.Store(!d.options.IsWithoutAdvice)
 		if err := d.putServer(b.Server); err != nil {
 			return err
 		}
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -155,6 +155,18 @@
 	})
 }
 
+// serverOf returns the backend server that made the signature of an answer to the request, or nil.
+func (l *ledger) serverOf(id, signature string) *backendServer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.runs[id] {
+		if signatureOf(r.server.ID, id) == signature {
+			return r.server
+		}
+	}
+	return nil
+}
+
 // recordConfig records a configuration that the store has accepted.
 func (l *ledger) recordConfig(c *route.Config) {
 	l.mu.Lock()
