dispatch: the answer to a question about health carries the load of the backend servers

Such a VM knows by now which servers are healthy, but not which are busy; the healthy ones are the busy ones. Same class of fault as before: a decision without what the neighbours know.

Change: the answer carries the open requests of all VMs at each server, valid for a second.

--- a/internal/dispatch/question.go
+++ b/internal/dispatch/question.go
@@ -17,15 +17,20 @@
 	healthAnswerWait = 40 * time.Millisecond
 	// maxReportedServers limits the healthy and the unhealthy backend servers in one answer, which has to fit into a datagram.
 	maxReportedServers = 40
+	// reportedLoadLifetime is how long the load of a backend server in an answer is valid.
+	reportedLoadLifetime = time.Second
 	// maxReportedHealthy and minReportedUnhealthy bound the unhealthy probabilities that say more than that nothing is known.
 	maxReportedHealthy   = 0.12
 	minReportedUnhealthy = 0.35
 )
 
-// ServerHealth is the unhealthy probability of a backend server.
+// ServerHealth is what a VM knows of a backend server.
 type ServerHealth struct {
-	Server    string
+	Server string
+	// Unhealthy is the unhealthy probability.
 	Unhealthy float64
+	// Open is the number of requests that all VMs have open at the backend server.
+	Open int
 }
 
 // healthQuestion is a question to other VMs.
@@ -36,8 +41,8 @@
 }
 
 // ensureEvidence asks the VMs that serve the service which backend servers are healthy and which are not, unless this VM has evidence of its
-// own, and waits for the first answer. Without it, a VM that seldom gets requests would choose among unhealthy backend
-// servers as if nothing were known.
+// own, and waits for the first answer. Without it, a VM that seldom gets requests would choose among unhealthy
+// and busy backend servers as if nothing were known.
 func (s *service) ensureEvidence(ctx context.Context, now time.Time) {
 	s.mu.Lock()
 	question := s.question
@@ -76,9 +81,9 @@
 	for id, srv := range s.servers {
 		switch p := srv.estimate.UnhealthyProbability(now); {
 		case p <= maxReportedHealthy:
-			healthy = append(healthy, ServerHealth{id, p})
+			healthy = append(healthy, ServerHealth{id, p, srv.load(now)})
 		case p >= minReportedUnhealthy:
-			unhealthy = append(unhealthy, ServerHealth{id, p})
+			unhealthy = append(unhealthy, ServerHealth{id, p, srv.load(now)})
 		}
 	}
 	slices.SortFunc(healthy, func(a, b ServerHealth) int { return cmp.Compare(a.Unhealthy, b.Unhealthy) })
@@ -99,6 +104,7 @@
 	for _, h := range known {
 		if srv := s.servers[h.Server]; srv != nil {
 			srv.estimate.Adopt(now, h.Unhealthy, evidenceLifetime)
+			srv.reported = peerCount{open: h.Open, at: now}
 		}
 	}
 	if len(known) > 0 {
--- a/internal/dispatch/question_test.go
+++ b/internal/dispatch/question_test.go
@@ -147,3 +147,37 @@
 		})
 	}
 }
+
+// TestVMWithoutCallersSeesTheLoad guards against a VM that seldom gets a request and sends it to a backend server that is healthy
+// but busy with the requests of other VMs, where it waits until its deadline.
+func TestVMWithoutCallersSeesTheLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var d *dispatch.Dispatcher
+		sent := map[string]int{}
+		d = dispatch.New(dispatch.Options{
+			Zone: "a", Region: "r", Regions: map[string]string{"a": "r"}, Protocol: simProtocol, Log: zerolog.Nop(),
+			Connect: func(roster.Server, int) dispatch.ConnectionPool { return instantPool{} },
+			ShareEvidence: func(e dispatch.Evidence) {
+				if e.IsStart {
+					sent[e.Server]++
+				}
+			},
+			ShareCrash: func(poison.Fingerprint, string) {}, RetryAllowance: func(string) float64 { return 0 },
+			Serves: func(string) bool { return false },
+			AskHealth: func(service string) bool {
+				time.AfterFunc(2*time.Millisecond, func() {
+					d.ReceiveHealth(service, []dispatch.ServerHealth{{"busy", 0.01, 20}, {"free", 0.1, 0}})
+				})
+				return true
+			},
+		})
+		list := []roster.Server{{ID: "busy", Service: simService, Zone: "a", Slots: 4}, {ID: "free", Service: simService, Zone: "a", Slots: 4}}
+		d.Update(map[string][]roster.Server{simService: list}, nil)
+		target := newSim(t, 0, route.NonIdempotent, false).target
+		for range 10 {
+			d.Do(context.Background(), &dispatch.Request{Header: http.Header{}, Target: target, Service: simService, Arrival: time.Now()})
+			time.Sleep(10 * time.Second)
+		}
+		qt.Check(t, sent, qt.DeepEquals, map[string]int{"free": 10})
+	})
+}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -53,6 +53,8 @@
 	open map[uint64]time.Time
 	// peerOpen holds the numbers of open requests of other VMs, by peer.
 	peerOpen map[string]peerCount
+	// reported is the number of open requests of all VMs, as of the last answer to a question of this VM.
+	reported peerCount
 }
 
 type peerCount struct {
@@ -68,6 +70,9 @@
 			n += p.open
 		}
 	}
+	if now.Sub(srv.reported.at) < reportedLoadLifetime {
+		n = max(n, srv.reported.open)
+	}
 	return n
 }
 
--- a/internal/vmpeer/codec.go
+++ b/internal/vmpeer/codec.go
@@ -180,12 +180,12 @@
 	return appendName([]byte{byte(kindHealthQuestion)}, service)
 }
 
-// encodeHealthAnswer encodes, after the kind, the name of the service, and for each backend server its name and its unhealthy
-// probability in 255ths (1 byte).
+// encodeHealthAnswer encodes, after the kind, the name of the service, and for each backend server its name, its unhealthy
+// probability in 255ths (1 byte) and its number of open requests (1 byte, at most 255).
 func encodeHealthAnswer(service string, servers []dispatch.ServerHealth) []byte {
 	out := appendName([]byte{byte(kindHealthAnswer)}, service)
 	for _, s := range servers {
-		out = append(appendName(out, s.Server), byte(s.Unhealthy*math.MaxUint8))
+		out = append(appendName(out, s.Server), byte(s.Unhealthy*math.MaxUint8), byte(min(s.Open, math.MaxUint8)))
 	}
 	return out
 }
@@ -197,10 +197,10 @@
 		if h.Server, rest, err = decodeName(rest); err != nil {
 			break
 		}
-		if len(rest) == 0 {
-			return service, nil, fmt.Errorf("decode health answer: the probability of %q is missing", h.Server)
+		if len(rest) < 2 {
+			return service, nil, fmt.Errorf("decode health answer: probability or open requests of %q are missing", h.Server)
 		}
-		h.Unhealthy, rest = float64(rest[0])/math.MaxUint8, rest[1:]
+		h.Unhealthy, h.Open, rest = float64(rest[0])/math.MaxUint8, int(rest[1]), rest[2:]
 		servers = append(servers, h)
 	}
 	return service, servers, err
--- a/internal/vmpeer/codec_test.go
+++ b/internal/vmpeer/codec_test.go
@@ -1,6 +1,7 @@
 package vmpeer
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -34,6 +35,17 @@
 	qt.Check(t, len(encodeEvidence(e)) <= 40, qt.IsTrue)
 }
 
+// TestHealthAnswerRoundTrip also checks that an answer about the most backend servers fits into a datagram.
+func TestHealthAnswerRoundTrip(t *testing.T) {
+	servers := []dispatch.ServerHealth{{Server: "i-1", Unhealthy: 1, Open: 300}, {Server: "i-2"}}
+	service, got, err := decodeHealthAnswer(encodeHealthAnswer("s", servers)[1:])
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, service, qt.Equals, "s")
+	qt.Check(t, got, qt.DeepEquals, []dispatch.ServerHealth{{Server: "i-1", Unhealthy: 1, Open: 255}, {Server: "i-2"}})
+	many := slices.Repeat([]dispatch.ServerHealth{{Server: "i-7f3a91c2b4"}}, 80)
+	qt.Check(t, len(encodeHealthAnswer("wuno96b", many)) < 1400, qt.IsTrue)
+}
+
 func TestCrashAndHeartbeatRoundTrip(t *testing.T) {
 	c := qt.New(t)
 	report := crash{fingerprint: 0xfedcba9876543210, server: "i-1"}
