--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -11,8 +11,8 @@
 	"github.com/primroseladder/primroseladder/internal/roster"
 )
 
-// adviceLifetime is how long advice is kept for a backend server that is not in the list. A backend server whose entry
-// disappears and comes back is the same process and still leaves.
+// adviceLifetime is how long advice is kept for a backend server that is not in the list. If its entry comes back, it is the
+// same process and still leaves.
 const adviceLifetime = 10 * time.Minute
 
 // incarnation identifies one run of a backend server.
@@ -32,7 +32,7 @@
 	pausedUntil time.Time
 	// limitToldAt is when other VMs were last told of a change of the limit.
 	limitToldAt time.Time
-	// heardAt is when the backend server last said something about itself.
+	// heardAt is when the backend server was last heard of.
 	heardAt time.Time
 }
 
@@ -44,7 +44,7 @@
 	IsLeaving bool
 	// Limit is the number of requests a second that the backend server takes from all VMs together, 0 if it names none.
 	Limit float64
-	// HasNoLimit is set in an answer that names no limit.
+	// HasNoLimit is set if the answer names no limit. With neither field set, the limit stays as it was.
 	HasNoLimit bool
 }
 
@@ -141,7 +141,7 @@
 	}
 	limit := &srv.advice.limit
 	if limit.isNamed() && !s.isServing {
-		// Other VMs do not tell this one of their requests.
+		// This VM does not hear of the requests of others, which count against the same limit.
 		return 0, false
 	}
 	return max(limit.wait(now), srv.advice.pausedUntil.Sub(now), 0), true
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -111,8 +111,8 @@
 	switch {
 	case r.wait == 0:
 		return Result{Outcome: NotRun, Reason: reasonNoServer, RetryAfter: retryAfterNoServer}
-	case r.isAtOwnWord:
-		return Result{Outcome: NotRun, Reason: reasonAtOwnWord, RetryAfter: r.wait}
+	case r.isAdvised:
+		return Result{Outcome: NotRun, Reason: reasonAdvised, RetryAfter: r.wait}
 	}
 	return Result{Outcome: NotRun, Reason: reasonAllBusy, RetryAfter: r.wait}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -255,7 +255,7 @@
 const (
 	reasonNoServer           = "no backend server"
 	reasonAllBusy            = "all backend servers are busy past the deadline"
-	reasonAtOwnWord          = "backend servers have reached the limits that they name, or want no requests for a time"
+	reasonAdvised            = "backend servers have reached the limits that they name, or want no requests for a time"
 	reasonShed               = "backend servers refused to run it"
 	reasonBlocked            = "it has broken the connections of backend servers before"
 	reasonLost               = "the answer was lost"
--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -35,7 +35,8 @@
 	chosen.advice.limit.count(now)
 	s.options.ShareEvidence(Evidence{Service: s.name, Server: chosen.ID, Open: len(chosen.open), IsStart: true})
 	return &reservation{
-		service: s, server: chosen, id: chosen.ID, pool: chosen.pool, said: Statement{Incarnation: chosen.Incarnation}, openID: s.nextOpenID, started: now,
+		service: s, server: chosen, id: chosen.ID, pool: chosen.pool, openID: s.nextOpenID, started: now,
+		said:    Statement{Incarnation: chosen.Incarnation},
 		isTrial: c.isTrial, unhealthyProbability: chosen.estimate.UnhealthyProbability(now),
 	}
 }
--- a/internal/dispatch/pause.go
+++ b/internal/dispatch/pause.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// maxPause limits the time for which a backend server is left alone at its own word. One that names more, by mistake or by a
-// clock that is wrong, would otherwise be lost until its next start.
+// maxPause limits how long a backend server can ask to get no requests. One that asks for longer, because of a mistake or a wrong
+// clock, would otherwise stay out of service until its next start.
 const maxPause = 10 * time.Minute
 
 // readPause returns the time for which a backend server that turns a request away wants nothing more from this VM: the
@@ -31,7 +31,7 @@
 	return 0
 }
 
-// pause leaves the backend server alone for a time, and longer if it has named more before. The caller must hold the service's
+// pause keeps requests from the backend server for a time, or for longer if it has asked for that before. The caller must hold the service's
 // lock.
 func (a *advice) pause(length time.Duration, now time.Time) {
 	if until := now.Add(length); until.After(a.pausedUntil) {
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -66,7 +66,7 @@
 	for _, candidate := range s.byDistance {
 		if wait, ok := s.admission(candidate, now); !ok || wait > 0 {
 			why.add(wait)
-			why.isAtOwnWord = why.isAtOwnWord || wait > 0
+			why.isAdvised = why.isAdvised || wait > 0
 			continue
 		}
 		if tried[candidate.ID] {
@@ -91,8 +91,8 @@
 type refusal struct {
 	// wait is the shortest expected time until one can, 0 if there is no candidate.
 	wait time.Duration
-	// isAtOwnWord is set if a backend server has named a limit that is reached, or wants no requests for a time.
-	isAtOwnWord bool
+	// isAdvised is set if a backend server has asked for a wait: its limit is reached, or it wants no requests for a time.
+	isAdvised bool
 }
 
 func (r *refusal) add(wait time.Duration) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -27,6 +27,7 @@
 	{113, "the same; later, a planned stop waited for a connection without a request until the end of its grace period"},
 	{115, "the same"},
 	{116, "the same"},
+	{305, "deletions stayed tentative for too long after a failed call to the store"},
 }
 
 const (
