Test: requests arrive unchanged from a caller's socket to a backend server's, and cut ones never

Random requests through callerconn, ingress, dispatch and backend over TCP; three requests cut after each byte. Comments wrapped.

--- a/internal/dispatch/pause.go
+++ b/internal/dispatch/pause.go
@@ -31,8 +31,8 @@
 	return 0
 }
 
-// pause keeps requests from the backend server for a time, or for longer if it has asked for that before. The caller must hold the service's
-// lock.
+// pause keeps requests from the backend server for a time, or for longer if it has asked for that before. The caller must
+// hold the service's lock.
 func (a *advice) pause(length time.Duration, now time.Time) {
 	if until := now.Add(length); until.After(a.pausedUntil) {
 		a.pausedUntil = until
--- a/internal/dispatch/question.go
+++ b/internal/dispatch/question.go
@@ -40,9 +40,9 @@
 	answered chan struct{}
 }
 
-// ensureEvidence asks the VMs that serve the service which backend servers are healthy and which are not, unless this VM has evidence of its
-// own, and waits for the first answer. Without it, a VM that seldom gets requests would choose among unhealthy
-// and busy backend servers as if nothing were known.
+// ensureEvidence asks the VMs that serve the service which backend servers are healthy and how busy they are, unless this VM
+// has evidence of its own, and waits for the first answer. Without it, a VM that seldom gets requests would choose among
+// unhealthy and busy backend servers as if nothing were known.
 func (s *service) ensureEvidence(ctx context.Context, now time.Time) {
 	s.mu.Lock()
 	question := s.question
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -109,8 +109,9 @@
 
 func newService(name string, o *Options, now time.Time) *service {
 	return &service{
-		name: name, options: o, servers: map[string]*server{}, advice: map[incarnation]*advice{}, durations: evidence.NewDurationModel(initialDuration),
-		budget: retryBudget{perRequest: o.RetryRatio, window: o.RetryWindow, refilled: now},
+		name: name, options: o, servers: map[string]*server{}, advice: map[incarnation]*advice{},
+		durations: evidence.NewDurationModel(initialDuration),
+		budget:    retryBudget{perRequest: o.RetryRatio, window: o.RetryWindow, refilled: now},
 	}
 }
 
@@ -154,8 +155,9 @@
 func (s *service) newServer(entry roster.Server, maxConnections int, now time.Time) *server {
 	logevent.BackendJoined.Log(s.options.Log).Str("service", s.name).Str("server", entry.ID).Str("zone", entry.Zone).Send()
 	added := &server{
-		Server: entry, advice: s.adviceFor(incarnationOf(entry), now), path: evidence.NewPathEstimate(), warmupUntil: now.Add(entry.WarmupRemaining),
-		open: map[uint64]time.Time{}, peerOpen: map[string]peerCount{},
+		Server: entry, advice: s.adviceFor(incarnationOf(entry), now), path: evidence.NewPathEstimate(),
+		warmupUntil: now.Add(entry.WarmupRemaining),
+		open:        map[uint64]time.Time{}, peerOpen: map[string]peerCount{},
 		pool: s.options.Connect(entry, max(minConnections, maxConnections/connectionShareDivisor)),
 	}
 	if s.hadServers {
--- a/internal/ingress/body_test.go
+++ b/internal/ingress/body_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -19,6 +20,8 @@
 	"github.com/primroseladder/primroseladder/internal/callerconn"
 	"github.com/primroseladder/primroseladder/internal/dispatch"
 	"github.com/primroseladder/primroseladder/internal/ingress"
+	"github.com/primroseladder/primroseladder/internal/poison"
+	"github.com/primroseladder/primroseladder/internal/roster"
 	"github.com/primroseladder/primroseladder/internal/route"
 )
 
@@ -95,17 +98,61 @@
 	}
 }
 
-// TestRequestsArriveUnchanged sends random requests, framed by a length or in chunks, in pieces of random sizes and partly
-// pipelined, and guards against one that is forwarded with another method, target, id or body.
+// arrivedRequest is a request as a caller sends it, or as it arrives at a backend server.
+type arrivedRequest struct{ id, method, uri, body string }
+
+// recordingServer is a backend server that records what arrives.
+type recordingServer struct {
+	mu      sync.Mutex
+	arrived []arrivedRequest
+}
+
+// ServeHTTP implements http.Handler.
+func (s *recordingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.arrived = append(s.arrived, arrivedRequest{r.Header.Get("X-Id"), r.Method, r.RequestURI, string(body)})
+	s.mu.Unlock()
+	w.Header().Set("X-Id", r.Header.Get("X-Id"))
+	w.Header().Set("X-Signature", "s")
+}
+
+func (s *recordingServer) take() []arrivedRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.arrived
+	s.arrived = nil
+	return out
+}
+
+// newDispatcher returns a dispatcher that sends over TCP to the backend server at the address.
+func newDispatcher(address string) *dispatch.Dispatcher {
+	d := dispatch.New(dispatch.Options{
+		Zone: "a", Region: "r", Regions: map[string]string{"a": "r"}, Log: zerolog.Nop(),
+		Protocol:      dispatch.Protocol{RequestID: "X-Id", DeadlineMS: "X-Deadline", Signature: "X-Signature", ExpectedInstance: "X-Expected"},
+		ShareEvidence: func(dispatch.Evidence) {}, ShareCrash: func(poison.Fingerprint, string) {},
+		RetryAllowance: func(string) float64 { return 0 },
+	})
+	d.Update(map[string][]roster.Server{"s": {{ID: "i-1", Service: "s", Zone: "a", Slots: 100, Address: address}}}, nil)
+	return d
+}
+
+// TestRequestsArriveUnchanged sends random requests, framed by a length or in chunks, in pieces of random sizes and pipelined, from
+// a caller's socket to a backend server's, and guards against one that arrives with another method, target, id or body.
 func TestRequestsArriveUnchanged(t *testing.T) {
-	d := &recordingDispatcher{}
+	server := &recordingServer{}
+	backendServer := httptest.NewServer(server)
+	t.Cleanup(backendServer.Close)
+	d := newDispatcher(strings.TrimPrefix(backendServer.URL, "http://"))
 	address := serveCallers(t, d, func(context.Context) *route.Table { return tableWithBodyLimit(1 << 16) })
-	type sent struct{ id, method, uri, body string }
 	rapid.Check(t, func(rt *rapid.T) {
-		var requests []sent
+		var requests []arrivedRequest
 		var raw strings.Builder
 		for n := range rapid.IntRange(1, 4).Draw(rt, "requests") {
-			s := sent{
+			s := arrivedRequest{
 				id: fmt.Sprint("id", n), method: rapid.SampledFrom([]string{"GET", "POST", "PUT", "DELETE"}).Draw(rt, "method"),
 				uri:  "/x/" + rapid.StringMatching(`[a-z0-9/._-]{0,20}(\?[a-z0-9=&]{0,20})?`).Draw(rt, "uri"),
 				body: rapid.StringMatching(`[ -~\r\n]{0,300}`).Draw(rt, "body"),
@@ -144,14 +191,40 @@
 			}
 			_, _ = io.Copy(io.Discard, response.Body)
 		}
-		received := d.take()
+		received := server.take()
 		if len(received) != len(requests) {
 			rt.Fatalf("%d of %d requests arrived", len(received), len(requests))
 		}
 		for i, r := range received {
-			if got := (sent{r.ID, r.Method, r.URI, string(r.Body)}); got != requests[i] {
-				rt.Fatalf("sent %q, arrived as %q", requests[i], got)
+			if r != requests[i] {
+				rt.Fatalf("sent %q, arrived as %q", requests[i], r)
 			}
 		}
 	})
 }
+
+// TestCutRequestNeverArrives cuts requests after each byte and guards against one that reaches a backend server although its
+// caller has not sent all of it.
+func TestCutRequestNeverArrives(t *testing.T) {
+	server := &recordingServer{}
+	backendServer := httptest.NewServer(server)
+	t.Cleanup(backendServer.Close)
+	d := newDispatcher(strings.TrimPrefix(backendServer.URL, "http://"))
+	address := serveCallers(t, d, func(context.Context) *route.Table { return tableWithBodyLimit(1 << 16) })
+	for _, raw := range []string{
+		"POST /x/1 HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nContent-Length: 10\r\n\r\n0123456789",
+		"POST /x/1 HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n0123\r\n6\r\n456789\r\n0\r\n\r\n",
+		"GET /x/1 HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\n\r\n",
+	} {
+		for end := range raw {
+			conn, err := net.Dial("tcp", address)
+			qt.Assert(t, err, qt.IsNil)
+			_, err = io.WriteString(conn, raw[:end])
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, conn.(*net.TCPConn).CloseWrite(), qt.IsNil)
+			_, _ = io.Copy(io.Discard, conn)
+			conn.Close()
+			qt.Check(t, server.take(), qt.HasLen, 0, qt.Commentf("cut after %q", raw[:end]))
+		}
+	}
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -53,8 +53,8 @@
 }
 
 // NewHandler returns a Handler. awaitTable returns the routes in force, or nil if no configuration is known; it may wait
-// for the first one. isEnding reports whether requests are refused because the process is about to end. recordResult is called with the service, the result and the duration of each request that was
-// dispatched.
+// for the first one. isEnding reports whether requests are refused because the process is about to end. recordResult is
+// called with the service, the result and the duration of each request that was dispatched.
 func NewHandler(
 	h Headers, awaitTable func(context.Context) *route.Table, isEnding func() bool, d Dispatcher,
 	recordResult func(string, dispatch.Result, time.Duration), rates *Rates, log zerolog.Logger,
