--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -30,7 +30,8 @@
 	Handler http.Handler
 	// MayOverlap reports whether a request may run before the earlier requests of its connection are answered.
 	MayOverlap func(*http.Request) bool
-	// Prepare returns the request as all other functions and the handler are to see it. It is called once the header is read.
+	// Prepare, if set, is called once the header of a request is read. The request that it returns replaces the original one for
+	// MayOverlap, BodyLimits and Handler.
 	Prepare func(*http.Request) *http.Request
 	// BodyLimits returns the maximum size of the body of a request, and the time within which it must be received.
 	BodyLimits func(*http.Request) (bytes int64, within time.Duration)
--- a/internal/dispatch/question.go
+++ b/internal/dispatch/question.go
@@ -19,7 +19,8 @@
 	maxReportedServers = 40
 	// reportedLoadLifetime is how long the load of a backend server in an answer is valid.
 	reportedLoadLifetime = time.Second
-	// maxReportedHealthy and minReportedUnhealthy bound the unhealthy probabilities that say more than that nothing is known.
+	// Backend servers with an unhealthy probability between maxReportedHealthy and minReportedUnhealthy are not reported: without
+	// any evidence the probability lies there too.
 	maxReportedHealthy   = 0.12
 	minReportedUnhealthy = 0.35
 )
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -48,7 +48,7 @@
 	// isLeaving is set when a planned stop begins.
 	isLeaving atomic.Bool
 
-	// isEnding is set when a planned stop takes no further requests, since they could outlast the process.
+	// isEnding is set when a planned stop begins to refuse further requests: the process could end before they are answered.
 	isEnding atomic.Bool
 
 	// mu serializes changes.
@@ -88,7 +88,7 @@
 // IsReady reports whether the VM accepts callers.
 func (s *State) IsReady() bool { return s.Table() != nil && !s.isLeaving.Load() }
 
-// IsEnding reports whether a planned stop takes no further requests.
+// IsEnding reports whether a planned stop refuses further requests.
 func (s *State) IsEnding() bool { return s.isEnding.Load() }
 
 // IsLeaving reports whether a planned stop has begun.
