membership: every VM of a group can handle an equal share of its requests

Callers saw requests held past their deadline and a configuration that was not in force (CONFIG, SHORT) at VMs of 0.16 cores that stayed saturated beside idle ones of 0.8 cores. Cause: callers draw one of the addresses at random, so each VM of a group gets the same number of requests, but a group was taken for large enough once the sum of its capacities reached the demand.

Now a group is as few VMs as can each carry demand/n; smaller ones are left out. If no number is enough, all serve, as before.

The demand of other zones, which is not reported here, is taken to be that of the local zone: it was 0, so VMs of other zones were looked for at the wrong addresses.

--- a/internal/membership/serving.go
+++ b/internal/membership/serving.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/primroseladder/primroseladder/internal/placement"
@@ -12,30 +14,37 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	alive := f.servingCandidates(now)
+	demand := f.demand(host, alive)
 	inZone := func(m Member) bool { return m.Zone == zone }
 	inRegion := func(m Member) bool { return m.Region == f.regions[zone] }
 	anywhere := func(Member) bool { return true }
 	for _, isInArea := range []func(Member) bool{inZone, inRegion, anywhere} {
-		if group := chooseServing(host, alive, isInArea); len(group) > 0 {
+		candidates := freshest(alive, isInArea)
+		if group := chooseServing(host, candidates, demand); len(group) > 0 {
 			return group
 		}
 	}
 	return nil
 }
 
-// chooseServing returns the VMs of an area that serve a host: as few as can handle its requests. A VM that receives all
-// requests to a host gains the most evidence from each of them, and its loss is detected within silentAfter. VMs with a stale
-// copy of the store serve only if there are no others.
-func chooseServing(host string, alive []Member, isInArea func(Member) bool) []Member {
-	var fresh, stale []Member
-	rate := 0.0
+// demand returns the requests per second to a host that the VMs of the local zone report. Those of other zones report
+// nothing here, and their demand is taken to be the same. The caller holds f.mu.
+func (f *Fleet) demand(host string, alive []Member) (perSecond float64) {
 	for _, m := range alive {
-		if !isInArea(m) {
-			continue
+		if m.Zone == f.zone {
+			perSecond += m.Rates[host]
 		}
-		rate += m.Rates[host]
+	}
+	return perSecond
+}
+
+// freshest returns the VMs of an area that callers may be sent to. VMs with a stale copy of the store serve only if there are
+// no others.
+func freshest(alive []Member, isInArea func(Member) bool) []Member {
+	var fresh, stale []Member
+	for _, m := range alive {
 		switch {
-		case m.IsLeaving:
+		case !isInArea(m) || m.IsLeaving:
 		case m.isStale():
 			stale = append(stale, m)
 		default:
@@ -43,16 +52,33 @@
 		}
 	}
 	if len(fresh) == 0 {
-		fresh = stale
+		return stale
 	}
-	var out []Member
-	capacity := 0.0
-	for _, i := range placement.RankWeighted(host, weights(fresh)) {
-		out = append(out, fresh[i])
-		if capacity += fresh[i].Capacity; capacity >= rate {
+	return fresh
+}
+
+// chooseServing returns the candidates that serve a host: as few as can each handle an equal share of the demand, since
+// callers choose among them at random. A VM that receives all requests to a host gains the most evidence from each of them,
+// and its loss is detected within silentAfter. If no number of VMs is enough, all serve.
+func chooseServing(host string, candidates []Member, demand float64) []Member {
+	capacities := make([]float64, 0, len(candidates))
+	for _, m := range candidates {
+		capacities = append(capacities, m.Capacity)
+	}
+	slices.SortFunc(capacities, func(a, b float64) int { return cmp.Compare(b, a) })
+	size, share := len(candidates), 0.0
+	for i, capacity := range capacities {
+		if n := float64(i + 1); n*capacity >= demand {
+			size, share = i+1, demand/n
 			break
 		}
 	}
+	var out []Member
+	for _, i := range placement.RankWeighted(host, weights(candidates)) {
+		if len(out) < size && candidates[i].Capacity >= share {
+			out = append(out, candidates[i])
+		}
+	}
 	return out
 }
 
