membership: a host of unknown demand is served by VMs that can carry a quarter of a zone

Cause: before any VM had reported requests, the demand counted as 0, so one VM, often of 0.16 cores, was a zone's whole answer for 1 to 3 s. A saturated VM reports what it read, and the weighted mean started from 0, so a zone of 350 requests a second was reported as 41 after 0.25 s and the group stayed too small.

Now a host that nobody has reported for 30 s is taken to need a quarter of its zone's capacity, and a new rate is measured over the time since the first request. Ruled out: a group that starts small and doubles, since callers keep an answer for up to three seconds.

TestNoVMIsSaturatedByTheLoadOfItsZone failed before with most hosts (360 requests in the first second at VMs that read 200).

--- a/internal/ingress/rates.go
+++ b/internal/ingress/rates.go
@@ -12,6 +12,8 @@
 	rateTimeConstant = 2 * time.Second
 	// minRate is the rate, in requests per second, below which a host is not reported.
 	minRate = 1.0
+	// minObservation is the minimum time over which a rate is measured.
+	minObservation = 250 * time.Millisecond
 )
 
 // Rates measures the requests per second of each host. It is safe for concurrent use.
@@ -22,9 +24,11 @@
 
 // rate is an exponentially weighted rate.
 type rate struct {
-	// perSecond is the rate at the time at.
-	perSecond float64
-	at        time.Time
+	// weighted is the rate at the time at, if the time before since counts as without requests.
+	weighted float64
+	at       time.Time
+	// since is the time of the first request.
+	since time.Time
 }
 
 // NewRates returns Rates without any requests.
@@ -36,11 +40,11 @@
 	defer r.mu.Unlock()
 	known := r.hosts[host]
 	if known == nil {
-		known = &rate{at: now}
+		known = &rate{at: now, since: now}
 		r.hosts[host] = known
 	}
 	known.decay(now)
-	known.perSecond += 1 / rateTimeConstant.Seconds()
+	known.weighted += 1 / rateTimeConstant.Seconds()
 }
 
 // Get returns the requests per second of each host, without the hosts below minRate.
@@ -50,15 +54,22 @@
 	out := map[string]float64{}
 	for host, known := range r.hosts {
 		known.decay(now)
-		if known.perSecond >= minRate {
-			out[host] = known.perSecond
+		if perSecond := known.perSecond(); perSecond >= minRate {
+			out[host] = perSecond
 		}
 	}
 	return out
 }
 
+// perSecond returns the rate over the time since the first request. Without the correction for this time, the rate of a host
+// that becomes busy would be underestimated by half for more than a second.
+func (r *rate) perSecond() float64 {
+	observed := max(r.at.Sub(r.since), minObservation)
+	return r.weighted / (1 - math.Exp(-observed.Seconds()/rateTimeConstant.Seconds()))
+}
+
 // decay reduces the rate for the time without requests until now.
 func (r *rate) decay(now time.Time) {
-	r.perSecond *= math.Exp(-max(0, now.Sub(r.at)).Seconds() / rateTimeConstant.Seconds())
+	r.weighted *= math.Exp(-max(0, now.Sub(r.at)).Seconds() / rateTimeConstant.Seconds())
 	r.at = now
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -81,7 +81,9 @@
 	// remoteReaders holds the last heartbeat of the VMs in other zones of the region that announced themselves as store
 	// readers.
 	remoteReaders map[string]heartbeat
-	monitoring    monitorState
+	// demandReported holds when a VM of the local zone last reported requests to a host.
+	demandReported map[string]time.Time
+	monitoring     monitorState
 	// meshSize is the largest zone in which every VM sends its regular heartbeats to every other.
 	meshSize int
 	// pendingReports holds the silent VMs that this VM still has to report, with the number of reports left.
@@ -111,7 +113,8 @@
 		self: self.Name, zone: self.Zone, regions: regions, started: time.Now(), log: log,
 		updates:    make(chan struct{}, 1),
 		registered: map[string]Member{}, zoneHeartbeats: map[string]heartbeat{}, remoteReaders: map[string]heartbeat{},
-		monitoring: monitorState{isMesh: true}, meshSize: defaultMeshSize, pendingReports: map[string]int{},
+		demandReported: map[string]time.Time{},
+		monitoring:     monitorState{isMesh: true}, meshSize: defaultMeshSize, pendingReports: map[string]int{},
 	}
 }
 
@@ -139,6 +142,11 @@
 	}
 	old, isKnown := senders[m.Name]
 	senders[m.Name] = heartbeat{Member: m, receivedAt: now}
+	if m.Zone == f.zone {
+		for host := range m.Rates {
+			f.demandReported[host] = now
+		}
+	}
 	f.mu.Unlock()
 	if old.isSilent {
 		logevent.VMSilenceEnded.Log(f.log).Str("neighbour", m.Name).Send()
@@ -162,6 +170,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	maps.DeleteFunc(f.remoteReaders, func(_ string, h heartbeat) bool { return now.Sub(h.receivedAt) > forgetAfter })
+	maps.DeleteFunc(f.demandReported, func(_ string, at time.Time) bool { return now.Sub(at) > demandLifetime })
 	f.updateMonitoring(now)
 	for name, h := range f.zoneHeartbeats {
 		if name == f.self {
--- a/internal/membership/serving.go
+++ b/internal/membership/serving.go
@@ -8,18 +8,29 @@
 	"github.com/primroseladder/primroseladder/internal/placement"
 )
 
+const (
+	// unknownDemandShare is the share of an area's capacity that a host is assumed to need while no VM has reported requests
+	// to it.
+	unknownDemandShare = 0.25
+	// demandLifetime is how long after the last report of requests to a host its demand counts as known.
+	demandLifetime = 30 * time.Second
+)
+
 // Serving returns the VMs that serve a host for callers of an availability zone, best first. If the zone has none, VMs
 // of its region serve, and if the region has none, VMs of other regions.
 func (f *Fleet) Serving(host, zone string, now time.Time) []Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	alive := f.servingCandidates(now)
-	demand := f.demand(host, alive)
+	demand, isKnown := f.demand(host, alive, now)
 	inZone := func(m Member) bool { return m.Zone == zone }
 	inRegion := func(m Member) bool { return m.Region == f.regions[zone] }
 	anywhere := func(Member) bool { return true }
 	for _, isInArea := range []func(Member) bool{inZone, inRegion, anywhere} {
 		candidates := freshest(alive, isInArea)
+		if !isKnown {
+			demand = unknownDemandShare * totalCapacity(candidates)
+		}
 		if group := chooseServing(host, candidates, demand); len(group) > 0 {
 			return group
 		}
@@ -28,14 +39,16 @@
 }
 
 // demand returns the requests per second to a host that the VMs of the local zone report. Those of other zones report
-// nothing here, and their demand is taken to be the same. The caller holds f.mu.
-func (f *Fleet) demand(host string, alive []Member) (perSecond float64) {
+// nothing here, and their demand is taken to be the same. isKnown is false if there has been no report for demandLifetime.
+// The caller holds f.mu.
+func (f *Fleet) demand(host string, alive []Member, now time.Time) (perSecond float64, isKnown bool) {
 	for _, m := range alive {
 		if m.Zone == f.zone {
 			perSecond += m.Rates[host]
 		}
 	}
-	return perSecond
+	reportedAt, wasReported := f.demandReported[host]
+	return perSecond, wasReported && now.Sub(reportedAt) <= demandLifetime
 }
 
 // freshest returns the VMs of an area that callers may be sent to. VMs with a stale copy of the store serve only if there are
@@ -57,6 +70,14 @@
 	return fresh
 }
 
+func totalCapacity(members []Member) float64 {
+	sum := 0.0
+	for _, m := range members {
+		sum += m.Capacity
+	}
+	return sum
+}
+
 // chooseServing returns the candidates that serve a host: as few as can each handle an equal share of the demand, since
 // callers choose among them at random. A VM that receives all requests to a host gains the most evidence from each of them,
 // and its loss is detected within silentAfter. If no number of VMs is enough, all serve.
