vmpeer, dispatch: evidence goes to VMs that serve a service, others ask

Cause: a VM that had sent one piece of evidence on a service was sent all evidence on it for 3 s.

Now a VM that is not known to serve the service is subscribed by the evidence of ten requests in 3 s. Any other asks, at most once a second, and its own outcomes no longer count as knowledge of the service. Ruled out: no subscriptions at all, since VMs of another zone may not know which VMs serve there.

--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -53,6 +53,9 @@
 	took := now.Sub(r.started)
 	r.server.observePath(outcome, now)
 	isTransition := s.observe(r.server, outcome, took, now)
+	if s.isServing {
+		s.evidenceAt = now
+	}
 	isNews := s.adopt(r.id, r.said, r.started, now)
 	if r.pause > 0 {
 		r.server.advice.pause(r.pause, now)
@@ -104,7 +107,6 @@
 // observe updates the estimates with an outcome and reports whether it changed the state of the backend server from
 // healthy to unhealthy or back. The caller must hold the service's lock.
 func (s *service) observe(srv *server, outcome evidence.Outcome, took time.Duration, now time.Time) (isTransition bool) {
-	s.evidenceAt = now
 	weight := 1.0
 	if mayBePathFault(outcome) {
 		weight = pathOutcomeWeight
@@ -171,6 +173,7 @@
 	if srv == nil {
 		return
 	}
+	s.evidenceAt = now
 	srv.peerOpen[peer] = peerCount{open: e.Open, at: now}
 	if e.IsStart {
 		srv.advice.limit.count(now)
--- a/internal/dispatch/question.go
+++ b/internal/dispatch/question.go
@@ -13,6 +13,8 @@
 	// evidenceLifetime is how long after the last evidence on a service this VM can judge its backend servers. The VMs that
 	// serve a service receive evidence all the time; any other VM may get a request for it too.
 	evidenceLifetime = 3 * time.Second
+	// answerLifetime is how long after an answer a VM that gets no evidence asks again.
+	answerLifetime = time.Second
 	// healthAnswerWait is how long a request waits for what other VMs know. A round trip inside a region takes 3 ms.
 	healthAnswerWait = 40 * time.Millisecond
 	// maxReportedServers limits the healthy and the unhealthy backend servers in one answer, which has to fit into a datagram.
@@ -42,13 +44,13 @@
 }
 
 // ensureEvidence asks the VMs that serve the service which backend servers are healthy and how busy they are, unless this VM
-// has evidence of its own, and waits for the first answer. Without it, a VM that seldom gets requests would choose among
+// serves the service itself or has recently heard of them, and waits for the first answer. Without it, a VM that seldom gets requests would choose among
 // unhealthy and busy backend servers as if nothing were known.
 func (s *service) ensureEvidence(ctx context.Context, now time.Time) {
 	s.mu.Lock()
 	question := s.question
-	isKnown := now.Sub(s.evidenceAt) < evidenceLifetime
-	mustAsk := !isKnown && now.Sub(question.askedAt) >= evidenceLifetime
+	isKnown := now.Sub(s.evidenceAt) < answerLifetime
+	mustAsk := !isKnown && now.Sub(question.askedAt) >= answerLifetime
 	if mustAsk {
 		question = healthQuestion{askedAt: now, answered: make(chan struct{})}
 		s.question = question
@@ -104,7 +106,7 @@
 	defer s.mu.Unlock()
 	for _, h := range known {
 		if srv := s.servers[h.Server]; srv != nil {
-			srv.estimate.Adopt(now, h.Unhealthy, evidenceLifetime)
+			srv.estimate.Adopt(now, h.Unhealthy, answerLifetime/2)
 			srv.reported = peerCount{open: h.Open, at: now}
 		}
 	}
--- a/internal/dispatch/question_test.go
+++ b/internal/dispatch/question_test.go
@@ -181,3 +181,32 @@
 		qt.Check(t, sent, qt.DeepEquals, map[string]int{"free": 10})
 	})
 }
+
+// TestOwnOutcomesDoNotReplaceAnswers guards against a VM outside the group of a service that judges all backend servers by the few
+// requests that it sent itself.
+func TestOwnOutcomesDoNotReplaceAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const seconds = 10
+		asked := 0
+		var d *dispatch.Dispatcher
+		d = dispatch.New(dispatch.Options{
+			Zone: "a", Region: "r", Regions: map[string]string{"a": "r"}, Protocol: simProtocol, Log: zerolog.Nop(),
+			Connect:       func(roster.Server, int) dispatch.ConnectionPool { return instantPool{} },
+			ShareEvidence: func(dispatch.Evidence) {}, ShareCrash: func(poison.Fingerprint, string) {},
+			RetryAllowance: func(string) float64 { return 0 },
+			Serves:         func(string) bool { return false },
+			AskHealth: func(service string) bool {
+				asked++
+				time.AfterFunc(2*time.Millisecond, func() { d.ReceiveHealth(service, []dispatch.ServerHealth{{"i-1", 0.01, 0}}) })
+				return true
+			},
+		})
+		d.Update(map[string][]roster.Server{simService: {{ID: "i-1", Service: simService, Zone: "a", Slots: 4}}}, nil)
+		target := newSim(t, 0, route.NonIdempotent, false).target
+		for range seconds * 2 {
+			d.Do(context.Background(), &dispatch.Request{Header: http.Header{}, Target: target, Service: simService, Arrival: time.Now()})
+			time.Sleep(500 * time.Millisecond)
+		}
+		qt.Check(t, asked >= seconds*2/3, qt.IsTrue, qt.Commentf("asked %d times in %d s", asked, seconds))
+	})
+}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -91,7 +91,7 @@
 	recent     failureWindow
 	budget     retryBudget
 	nextOpenID uint64
-	// evidenceAt is when this VM last got evidence on the service, of its own or from other VMs.
+	// evidenceAt is when this VM last got evidence on the service from other VMs, or of its own if it serves the service.
 	evidenceAt time.Time
 	question   healthQuestion
 	// hadServers is set once the service has had backend servers. Those added later have joined a running service.
--- a/internal/vmpeer/endpoint.go
+++ b/internal/vmpeer/endpoint.go
@@ -23,8 +23,11 @@
 const (
 	// maxDatagramBytes is the size of the receive buffer; a heartbeat has about 250 bytes.
 	maxDatagramBytes = 2048
-	// senderLifetime is how long after its last evidence on a service a VM is sent evidence on that service in return.
-	senderLifetime = 3 * time.Second
+	// subscriptionWindow is the time in which a VM has to send subscriptionMinEvidence on a service to be sent the evidence on
+	// it in return, and how long it then is. A VM with fewer requests asks for what it needs: see AskHealth.
+	subscriptionWindow = 3 * time.Second
+	// subscriptionMinEvidence is the evidence of 10 requests.
+	subscriptionMinEvidence = 20
 	// announcementRepeats is the number of regular heartbeats after an announcement that also go to all VMs of the zone,
 	// since a datagram may be lost.
 	announcementRepeats = 2
@@ -76,8 +79,17 @@
 	repeatsLeft atomic.Int32
 
 	mu sync.Mutex
-	// evidenceSenders holds the time of the last evidence from each VM, by service and address.
-	evidenceSenders map[string]map[string]time.Time
+	// evidenceSenders holds the VMs that send evidence, by service and address.
+	evidenceSenders map[string]map[string]*evidenceSender
+}
+
+// evidenceSender is a VM that sends evidence on a service.
+type evidenceSender struct {
+	// count is the amount of evidence since windowStart.
+	count       int
+	windowStart time.Time
+	// subscribedUntil is how long the VM is sent evidence in return.
+	subscribedUntil time.Time
 }
 
 // Listen opens a UDP socket at address and returns an Endpoint that uses it.
@@ -95,7 +107,7 @@
 
 // New returns an Endpoint that uses an open socket.
 func New(conn Conn, f *membership.Fleet, g Groups, log zerolog.Logger) *Endpoint {
-	return &Endpoint{conn: conn, fleet: f, groups: g, log: log, evidenceSenders: map[string]map[string]time.Time{}}
+	return &Endpoint{conn: conn, fleet: f, groups: g, log: log, evidenceSenders: map[string]map[string]*evidenceSender{}}
 }
 
 // SetSelf sets the function that returns the current state of this VM. It must be called before heartbeats are sent or
@@ -180,16 +192,30 @@
 }
 
 func (ep *Endpoint) recordEvidenceSender(service, address string) {
+	now := time.Now()
 	ep.mu.Lock()
 	defer ep.mu.Unlock()
-	if ep.evidenceSenders[service] == nil {
-		ep.evidenceSenders[service] = map[string]time.Time{}
+	senders := ep.evidenceSenders[service]
+	if senders == nil {
+		senders = map[string]*evidenceSender{}
+		ep.evidenceSenders[service] = senders
+	}
+	sender := senders[address]
+	if sender == nil {
+		sender = &evidenceSender{windowStart: now}
+		senders[address] = sender
+	}
+	if now.Sub(sender.windowStart) > subscriptionWindow {
+		sender.count, sender.windowStart = 0, now
+	}
+	sender.count++
+	if sender.count >= subscriptionMinEvidence {
+		sender.subscribedUntil = now.Add(subscriptionWindow)
 	}
-	ep.evidenceSenders[service][address] = time.Now()
 }
 
-// SendEvidence sends evidence to the VMs of the local region that serve its service, and to the VMs that recently sent
-// evidence on that service. VMs of other regions are sent health transitions only. News that a backend server says of itself
+// SendEvidence sends evidence to the VMs of the local region that serve its service, and to the VMs that have many requests
+// for it without being known to serve it. VMs of other regions are sent health transitions only. News that a backend server says of itself
 // goes to all VMs.
 func (ep *Endpoint) SendEvidence(e dispatch.Evidence) {
 	datagram := encodeEvidence(e)
@@ -198,7 +224,7 @@
 		sent[address] = true
 		ep.send(address, datagram)
 	}
-	for _, address := range ep.recentEvidenceSenders(e.Service) {
+	for _, address := range ep.evidenceSubscribers(e.Service) {
 		if !sent[address] {
 			ep.send(address, datagram)
 		}
@@ -229,18 +255,20 @@
 	}
 }
 
-// recentEvidenceSenders returns the addresses of the VMs whose evidence on the service is not older than senderLifetime,
-// and removes the others.
-func (ep *Endpoint) recentEvidenceSenders(service string) []string {
+// evidenceSubscribers returns the addresses of the VMs that are sent evidence on a service because they send much
+// themselves, and forgets those that have sent none for subscriptionWindow.
+func (ep *Endpoint) evidenceSubscribers(service string) []string {
+	now := time.Now()
 	ep.mu.Lock()
 	defer ep.mu.Unlock()
 	var out []string
-	for address, at := range ep.evidenceSenders[service] {
-		if time.Since(at) > senderLifetime {
+	for address, sender := range ep.evidenceSenders[service] {
+		switch {
+		case now.Before(sender.subscribedUntil):
+			out = append(out, address)
+		case now.Sub(sender.windowStart) > subscriptionWindow:
 			delete(ep.evidenceSenders[service], address)
-			continue
 		}
-		out = append(out, address)
 	}
 	return out
 }
