gateway: a VM that runs late refuses requests at once and is left out of answers to callers

Groups that fit their load do not cover a VM that is slowed, or load that comes at once. Cause: nothing measured whether a VM keeps up; a saturated VM accepted like an idle one, and reported only what it had got around to reading.

Now each VM measures every 200 ms how late its timers run. Above 250 ms, which is more than two periods of a processor share that is granted by the tenth of a second, it answers 503 before any work is done, still counts the request as demand, and asks in its heartbeats to be left out of groups for 3 s, unless there is no other VM.

Ruled out: processor time used (getrusage) as the measure. It is 100 % at a VM that just keeps up, too.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -39,6 +39,7 @@
 	m.RegisterGauge("copy_age_seconds", "Time since the copy of the store was last known to be complete.", func() float64 {
 		return in.Copy.Age(time.Now()).Seconds()
 	})
+	m.RegisterGauge("lag_seconds", "How late this process runs.", func() float64 { return in.Lag.Lag().Seconds() })
 	m.RegisterGauge("config_version", "Version of the configuration in force; 0 for none.", func() float64 {
 		if table := in.State.Table(); table != nil {
 			return float64(table.Config.Version)
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -12,6 +12,7 @@
 	"github.com/primroseladder/primroseladder/internal/dispatch"
 	"github.com/primroseladder/primroseladder/internal/ingress"
 	"github.com/primroseladder/primroseladder/internal/kv"
+	"github.com/primroseladder/primroseladder/internal/lag"
 	"github.com/primroseladder/primroseladder/internal/listen"
 	"github.com/primroseladder/primroseladder/internal/membership"
 	"github.com/primroseladder/primroseladder/internal/metrics"
@@ -45,7 +46,7 @@
 	return fx.Options(
 		fx.Supply(p, p.Settings, p.Settings.Get(), log),
 		fx.Provide(
-			newSelf, newFleet, NewGroups, newEndpoint, newDispatcher, newMirror, metrics.New, ingress.NewRates,
+			newSelf, newFleet, NewGroups, newEndpoint, newDispatcher, newMirror, metrics.New, ingress.NewRates, lag.NewMonitor,
 			func(d *dispatch.Dispatcher, f *membership.Fleet, self membership.Member, r *membership.Registrar) *State {
 				return NewState(p.Codec, d, f, self, r.NotifyRemoved, log)
 			},
@@ -145,6 +146,7 @@
 	Metrics    *metrics.Metrics
 	// Rates are sent to the other VMs of the zone in heartbeats.
 	Rates *ingress.Rates
+	Lag   *lag.Monitor
 	Log   zerolog.Logger
 }
 
@@ -156,6 +158,7 @@
 	self := c.Self
 	self.IsLeaving = c.State.IsLeaving()
 	self.Rates = c.Rates.Get(time.Now())
+	self.IsOverloaded = c.Lag.NeedsRelief(time.Now())
 	self.IsStoreUnreachable = c.Mirror.IsStoreUnreachable()
 	self.IsReader = c.Fleet.ReaderRank() == 0
 	self.IsWithoutConfig = c.State.Table() == nil
@@ -175,6 +178,7 @@
 	listen.Background(lc, in.Mirror.Run)
 	listen.Background(lc, in.Registrar.Run)
 	listen.Background(lc, endpoint.SendHeartbeats)
+	listen.Background(lc, in.Lag.Run)
 	listen.Background(lc, func(ctx context.Context) { periodic.Run(ctx, expireInterval, in.Dispatcher.ExpireCrashes) })
 	directory := p.NewDirectory(func(host, zone string) ([]string, time.Duration) {
 		return callerAddresses(f.Serving(host, zone, time.Now())), min(directoryTTL, p.Settings.Get().MaxAnswerTTL)
@@ -184,7 +188,7 @@
 	handler := ingress.NewHandler(ingress.Headers{
 		RequestID: p.Headers.RequestID, DeadlineMS: p.Headers.DeadlineMS,
 		Internal: []string{p.Headers.ExpectedInstance, p.Headers.NotExecuted, p.Headers.Instance, p.Headers.Signature},
-	}, state.AwaitTable, state.IsEnding, in.Dispatcher, in.Metrics.RecordRequest, in.Rates, log)
+	}, state.AwaitTable, state.IsEnding, in.Lag.IsOverloaded, in.Dispatcher, in.Metrics.RecordRequest, in.Rates, log)
 	// fx stops hooks in reverse order: the callers' listener must stop first, while the other components still run.
 	lc.Append(newCallerServer(p, state, in.Registrar, handler, endpoint.Announce, log).hook())
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -44,7 +44,9 @@
 	awaitTable func(context.Context) *route.Table
 	// isEnding reports whether the process is about to end and takes no further requests.
 	isEnding func() bool
-	dispatch Dispatcher
+	// isOverloaded reports whether the process runs too late to answer further requests in time.
+	isOverloaded func() bool
+	dispatch     Dispatcher
 	// recordResult is called with the result of each request that was dispatched.
 	recordResult func(service string, r dispatch.Result, took time.Duration)
 	// rates counts the requests of each host.
@@ -53,14 +55,16 @@
 }
 
 // NewHandler returns a Handler. awaitTable returns the routes in force, or nil if no configuration is known; it may wait
-// for the first one. isEnding reports whether requests are refused because the process is about to end. recordResult is
+// for the first one. isEnding and isOverloaded report whether requests are refused because the process is about to end, or
+// because it runs too late to answer them in time. recordResult is
 // called with the service, the result and the duration of each request that was dispatched.
 func NewHandler(
-	h Headers, awaitTable func(context.Context) *route.Table, isEnding func() bool, d Dispatcher,
+	h Headers, awaitTable func(context.Context) *route.Table, isEnding, isOverloaded func() bool, d Dispatcher,
 	recordResult func(string, dispatch.Result, time.Duration), rates *Rates, log zerolog.Logger,
 ) *Handler {
 	return &Handler{
-		headers: h, awaitTable: awaitTable, isEnding: isEnding, dispatch: d, recordResult: recordResult, rates: rates, log: log,
+		headers: h, awaitTable: awaitTable, isEnding: isEnding, isOverloaded: isOverloaded, dispatch: d, recordResult: recordResult,
+		rates: rates, log: log,
 	}
 }
 
@@ -70,6 +74,8 @@
 	retryAfterNoConfig = 500 * time.Millisecond
 	// retryAfterStopping is the retry delay while this VM stops. Other VMs serve at once.
 	retryAfterStopping = minRetryAfter
+	// retryAfterOverloaded is the retry delay while this VM is overloaded. Other VMs serve at once.
+	retryAfterOverloaded = minRetryAfter
 	// defaultBodyTimeout limits the time to receive the body of a request without a deadline.
 	defaultBodyTimeout = 10 * time.Second
 )
@@ -92,6 +98,10 @@
 		return
 	}
 	h.rates.Count(target.Host, arrival)
+	if h.isOverloaded() {
+		h.refuse(w, r, "the VM is overloaded", retryAfterOverloaded)
+		return
+	}
 	request, status, reason := h.readRequest(w, r, table, target, arrival)
 	if status != 0 {
 		h.reject(w, r, status, reason)
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -40,10 +40,16 @@
 	}}}, nil)
 }
 
-func neverEnding() bool { return false }
+func never() bool { return false }
 
 func serve(t *testing.T, d *scriptedDispatcher, table func(context.Context) *route.Table) string {
-	handler := ingress.NewHandler(headers, table, neverEnding, d,
+	return serveWith(t, d, table, never)
+}
+
+func serveWith(
+	t *testing.T, d *scriptedDispatcher, table func(context.Context) *route.Table, isOverloaded func() bool,
+) string {
+	handler := ingress.NewHandler(headers, table, never, isOverloaded, d,
 		func(string, dispatch.Result, time.Duration) {}, ingress.NewRates(), zerolog.Nop())
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
@@ -186,3 +192,21 @@
 	qt.Check(t, got > 90 && got < 110, qt.IsTrue, qt.Commentf("%g", got))
 	qt.Check(t, r.Get(end.Add(time.Minute)), qt.HasLen, 0)
 }
+
+// TestOverloadedVMRefusesAtOnce guards against requests that a saturated VM takes and holds until their time limit: it refuses
+// them as not run, and counts them as load.
+func TestOverloadedVMRefusesAtOnce(t *testing.T) {
+	c := qt.New(t)
+	d := &scriptedDispatcher{do: func(context.Context, *dispatch.Request) dispatch.Result {
+		return dispatch.Result{Outcome: dispatch.Unknown}
+	}}
+	isOverloaded := true
+	address := serveWith(t, d, table, func() bool { return isOverloaded })
+	response, _ := exchange(t, address, get+"\r\n")
+	c.Check(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(response.Header.Get("Retry-After"), qt.Equals, "0.050")
+	c.Check(d.received, qt.HasLen, 0)
+	isOverloaded = false
+	response, _ = exchange(t, address, get+"\r\n")
+	c.Check(response.StatusCode, qt.Equals, http.StatusBadGateway)
+}
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -73,6 +73,7 @@
 	RequestAnswered  = Event{1603, zerolog.InfoLevel, "request answered"}
 	AttemptFailed    = Event{1605, zerolog.WarnLevel, "an attempt failed and another one follows"}
 	CallerConnFailed = Event{1606, zerolog.WarnLevel, "a caller's connection could not be accepted or was closed without its answers"}
+	Overloaded       = Event{1608, zerolog.WarnLevel, "this VM runs late and refuses requests"}
 	HandlerPanicked  = Event{1607, zerolog.ErrorLevel, "the handling of a request panicked"}
 	LinesDropped     = Event{1604, zerolog.WarnLevel, "log lines were dropped to keep the volume bounded"}
 )
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -48,6 +48,8 @@
 	IsReader bool `json:"s,omitempty"`
 	// IsWithoutConfig is set if the VM has no configuration yet.
 	IsWithoutConfig bool `json:"w,omitempty"`
+	// IsOverloaded is set if the VM was recently too late to take requests.
+	IsOverloaded bool `json:"b,omitempty"`
 	// AgeMS is the time in milliseconds since the VM's copy of the store was last known to be complete.
 	AgeMS int64 `json:"a,omitempty"`
 	// Revision is the store revision up to which the VM's copy is complete.
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -68,6 +68,7 @@
 	changes := map[string]func(*membership.Member){
 		"leaving":               func(m *membership.Member) { m.IsLeaving = true },
 		"without configuration": func(m *membership.Member) { m.IsWithoutConfig = true },
+		"overloaded":            func(m *membership.Member) { m.IsOverloaded = true },
 		"with an old copy":      func(m *membership.Member) { m.AgeMS = 5000 },
 	}
 	for name, change := range changes {
--- a/internal/membership/monitors.go
+++ b/internal/membership/monitors.go
@@ -261,7 +261,7 @@
 // zone must be notified at once.
 func (m *Member) DiffersMateriallyFrom(announced *Member) bool {
 	if m.IsLeaving != announced.IsLeaving || m.IsStoreUnreachable != announced.IsStoreUnreachable ||
-		m.IsReader != announced.IsReader || m.isStale() != announced.isStale() {
+		m.IsReader != announced.IsReader || m.IsOverloaded != announced.IsOverloaded || m.isStale() != announced.isStale() {
 		return true
 	}
 	limit := max(materialRateShare*m.Capacity, 1)
--- a/internal/membership/serving.go
+++ b/internal/membership/serving.go
@@ -27,7 +27,7 @@
 	inRegion := func(m Member) bool { return m.Region == f.regions[zone] }
 	anywhere := func(Member) bool { return true }
 	for _, isInArea := range []func(Member) bool{inZone, inRegion, anywhere} {
-		candidates := freshest(alive, isInArea)
+		candidates := fittest(alive, isInArea)
 		if !isKnown {
 			demand = unknownDemandShare * totalCapacity(candidates)
 		}
@@ -51,23 +51,28 @@
 	return perSecond, wasReported && now.Sub(reportedAt) <= demandLifetime
 }
 
-// freshest returns the VMs of an area that callers may be sent to. VMs with a stale copy of the store serve only if there are
-// no others.
-func freshest(alive []Member, isInArea func(Member) bool) []Member {
-	var fresh, stale []Member
+// fittest returns the VMs of an area that callers may be sent to. Overloaded VMs serve only if there are no others, and VMs with
+// a stale copy of the store only after them.
+func fittest(alive []Member, isInArea func(Member) bool) []Member {
+	var fit, overloaded, stale []Member
 	for _, m := range alive {
 		switch {
 		case !isInArea(m) || m.IsLeaving:
 		case m.isStale():
 			stale = append(stale, m)
+		case m.IsOverloaded:
+			overloaded = append(overloaded, m)
 		default:
-			fresh = append(fresh, m)
+			fit = append(fit, m)
 		}
 	}
-	if len(fresh) == 0 {
-		return stale
+	switch {
+	case len(fit) > 0:
+		return fit
+	case len(overloaded) > 0:
+		return overloaded
 	}
-	return fresh
+	return stale
 }
 
 func totalCapacity(members []Member) float64 {
