--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -52,6 +52,8 @@
 	return roster.Server{ID: id, Service: "s", Zone: "a", Slots: 4, Address: string(item.Value)}, nil
 }
 
+func (codec) IsNewer(a, b kv.Item) bool { return string(a.Value) > string(b.Value) }
+
 // freeLoopbackAddress returns a loopback address at which nothing listens.
 func freeLoopbackAddress(t *testing.T) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -50,7 +50,11 @@
 			func(d *dispatch.Dispatcher, f *membership.Fleet, self membership.Member, r *membership.Registrar) *State {
 				return NewState(p.Codec, d, f, self, r.NotifyRemoved, log)
 			},
-			func(s *State) *mirror.Copy { return mirror.NewCopy(s.Apply) },
+			func(s *State, r *membership.Registrar) *mirror.Copy {
+				c := mirror.NewCopy(s.Apply, p.Codec)
+				c.OnNewEra(r.VerifyRegistration)
+				return c
+			},
 			func(self membership.Member) *membership.Registrar {
 				return membership.NewRegistrar(p.Store, self, p.Settings.Get().IsFirstStart, log)
 			},
@@ -112,7 +116,7 @@
 	members := p.Fleet.Sources()
 	out := make([]mirror.Source, 0, len(members))
 	for _, m := range members {
-		out = append(out, mirror.Source{Address: m.PeerAddress, Revision: m.Revision, Confirmed: m.Confirmed})
+		out = append(out, mirror.Source{Address: m.PeerAddress, At: m.Position(), Confirmed: m.Confirmed})
 	}
 	return out
 }
@@ -162,7 +166,8 @@
 	self.IsStoreUnreachable = c.Mirror.IsStoreUnreachable()
 	self.IsReader = c.Fleet.ReaderRank() == 0
 	self.IsWithoutConfig = c.State.Table() == nil
-	self.Revision = c.Copy.Revision()
+	at := c.Copy.Position()
+	self.Revision, self.Era = at.Revision, at.Era
 	self.AgeMS = min(c.Copy.Age(time.Now()).Milliseconds(), maxReportedAgeMS)
 	return self
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -27,6 +27,8 @@
 	DecodeConfig(value []byte) (*route.Config, error)
 	// DecodeServer decodes the entry of a backend server.
 	DecodeServer(item kv.Item) (roster.Server, error)
+	// IsNewer reports whether the owner of a key, the operator or a backend server, wrote the state a after the state b.
+	IsNewer(a, b kv.Item) bool
 }
 
 // State holds the configuration and the backend servers in force on this VM. It applies the changes of the store to them
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -6,6 +6,7 @@
 package kv
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -28,6 +29,30 @@
 // LeaseID identifies a lease. Zero means no lease.
 type LeaseID uint64
 
+// Position is a point in the history of a store. A store that has been restored from an older copy of itself begins a new era,
+// in which it gives out again revisions that it had given out before. Positions of different eras are ordered by the era.
+type Position struct {
+	Era      uint64
+	Revision uint64
+}
+
+// Compare returns a negative number if p precedes other, 0 if they are equal, and a positive number otherwise.
+func (p Position) Compare(other Position) int {
+	return cmp.Or(cmp.Compare(p.Era, other.Era), cmp.Compare(p.Revision, other.Revision))
+}
+
+// After reports whether p follows other.
+func (p Position) After(other Position) bool { return p.Compare(other) > 0 }
+
+// Lease keeps the keys that are attached to it until it ends.
+type Lease struct {
+	ID LeaseID
+	// TTL is how long the lease runs without a renewal.
+	TTL time.Duration
+	// Era is that in which the lease was granted. In a later one its ID may belong to another lease.
+	Era uint64
+}
+
 // Item is the state of a key after its last change: a value or its deletion.
 type Item struct {
 	Key   string
@@ -44,15 +69,18 @@
 	Items []Item
 	// More is set if the range continues after the last item.
 	More bool
-	// Revision is the store's revision when the page was read.
+	// Revision is the store's revision when the page was read, and Era the one that it belongs to.
 	Revision uint64
+	Era      uint64
 }
 
 // Changes holds the changes that a watch returned, in order.
 type Changes struct {
 	Items []Item
-	// Revision is the revision from which the next watch continues.
+	// Revision is the revision from which the next watch continues, and Era the one that it belongs to. The changes are those of
+	// a copy only if it is of the same era.
 	Revision uint64
+	Era      uint64
 }
 
 // Precondition requires that a key was last changed at Revision. Revision 0 requires that the key does not exist.
@@ -86,10 +114,12 @@
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Changes, error)
 	// Commit executes a transaction and returns its revision.
 	Commit(ctx context.Context, t Txn) (uint64, error)
-	// Grant creates a lease and returns its time to live. The store may choose another one than requested.
-	Grant(ctx context.Context, ttl time.Duration) (LeaseID, time.Duration, error)
+	// Grant creates a lease. The store may choose another time to live than requested.
+	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
 	// KeepAlive renews a lease.
 	KeepAlive(ctx context.Context, id LeaseID) error
 	// Revoke ends a lease and removes its keys.
 	Revoke(ctx context.Context, id LeaseID) error
+	// Era returns the latest era of which this client has received a response, or 0 before the first one.
+	Era() uint64
 }
--- a/internal/kv/kvtest/kvtest.go
+++ b/internal/kv/kvtest/kvtest.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -15,6 +16,7 @@
 // Store is shared by all clients of a test.
 type Store struct {
 	mu       sync.Mutex
+	era      uint64
 	revision uint64
 	items    map[string]kv.Item
 	history  []kv.Item
@@ -43,7 +45,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{revision: 1, items: map[string]kv.Item{}, changed: make(chan struct{}), leases: map[kv.LeaseID]lease{}}
+	return &Store{era: 1, revision: 1, items: map[string]kv.Item{}, changed: make(chan struct{}), leases: map[kv.LeaseID]lease{}}
 }
 
 // Calls returns the number of calls made, including refused ones.
@@ -82,6 +84,36 @@
 	}
 }
 
+// Backup is a copy of a store.
+type Backup struct {
+	revision  uint64
+	items     map[string]kv.Item
+	history   []kv.Item
+	leases    map[kv.LeaseID]lease
+	nextLease kv.LeaseID
+}
+
+// Backup returns a copy of the store.
+func (s *Store) Backup() *Backup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Backup{
+		revision: s.revision, items: maps.Clone(s.items), history: slices.Clone(s.history), leases: maps.Clone(s.leases),
+		nextLease: s.nextLease,
+	}
+}
+
+// Restore replaces the content of the store by that of a copy, which begins a new era.
+func (s *Store) Restore(b *Backup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.items, s.history = b.revision, maps.Clone(b.items), slices.Clone(b.history)
+	s.leases, s.nextLease = maps.Clone(b.leases), b.nextLease
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // Compact discards the history. Pending watches are not notified.
 func (s *Store) Compact() {
 	s.mu.Lock()
@@ -161,6 +193,24 @@
 	isDown         bool
 	isHanging      bool
 	losesResponses bool
+	// era is that of the last call that was not refused.
+	era uint64
+}
+
+// Era implements kv.Store.
+func (c *Client) Era() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.era
+}
+
+func (c *Client) noteEra() {
+	c.store.mu.Lock()
+	era := c.store.era
+	c.store.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.era = era
 }
 
 // SetDown makes all calls fail at once.
@@ -204,6 +254,7 @@
 	if isDown {
 		return kv.ErrUnavailable
 	}
+	c.noteEra()
 	return nil
 }
 
@@ -250,7 +301,7 @@
 		}
 	}
 	slices.Sort(keys)
-	page := kv.Page{Revision: s.revision, More: len(keys) > pageSize}
+	page := kv.Page{Revision: s.revision, Era: s.era, More: len(keys) > pageSize}
 	for _, key := range keys[:min(pageSize, len(keys))] {
 		page.Items = append(page.Items, s.items[key])
 	}
@@ -292,16 +343,17 @@
 	if isDown {
 		return kv.Changes{}, kv.ErrUnavailable
 	}
+	c.noteEra()
 	return changes, err
 }
 
 func (s *Store) changesSince(prefix string, after uint64) (kv.Changes, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.compacted {
+	if after < s.compacted || after > s.revision {
 		return kv.Changes{}, nil, kv.ErrCompacted
 	}
-	out := kv.Changes{Revision: s.revision}
+	out := kv.Changes{Revision: s.revision, Era: s.era}
 	for _, i := range s.history {
 		if i.Revision > after && strings.HasPrefix(i.Key, prefix) {
 			out.Items = append(out.Items, i)
@@ -339,16 +391,16 @@
 }
 
 // Grant implements kv.Store.
-func (c *Client) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, time.Duration, error) {
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (kv.Lease, error) {
 	if err := c.startCall(ctx); err != nil {
-		return 0, 0, err
+		return kv.Lease{}, err
 	}
 	s := c.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.nextLease++
 	s.leases[s.nextLease] = lease{ttl: ttl, ends: time.Now().Add(ttl)}
-	return s.nextLease, ttl, nil
+	return kv.Lease{ID: s.nextLease, TTL: ttl, Era: s.era}, nil
 }
 
 // KeepAlive implements kv.Store.
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -48,6 +48,7 @@
 	ConfigRefused       = Event{1313, zerolog.ErrorLevel, "configuration not adopted"}
 	ServerEntryUnusable = Event{1314, zerolog.WarnLevel, "entry of a backend server cannot be used"}
 	RegistrationFailed  = Event{1315, zerolog.WarnLevel, "the registration of a VM failed or is unreadable"}
+	StoreRestored       = Event{1317, zerolog.WarnLevel, "the store has come back from an older copy of itself"}
 	Registered          = Event{1316, zerolog.InfoLevel, "this VM is registered"}
 
 	PeerUnreachable = Event{1401, zerolog.DebugLevel, "a keeper cannot be reached"}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/primroseladder/primroseladder/internal/kv"
 	"github.com/primroseladder/primroseladder/internal/logevent"
 )
 
@@ -54,12 +55,17 @@
 	AgeMS int64 `json:"a,omitempty"`
 	// Revision is the store revision up to which the VM's copy is complete.
 	Revision uint64 `json:"v,omitempty"`
+	// Era is the era of the store that Revision belongs to.
+	Era uint64 `json:"e,omitempty"`
 	// Capacity is the number of requests per second that the VM can handle.
 	Capacity float64 `json:"k,omitempty"`
 	// Rates holds the requests per second that the VM receives, by host.
 	Rates map[string]float64 `json:"q,omitempty"`
 }
 
+// Position returns the position in the store's history up to which the VM's copy is complete.
+func (m *Member) Position() kv.Position { return kv.Position{Era: m.Era, Revision: m.Revision} }
+
 // staleAfter is the age of a VM's copy of the store beyond which callers are sent to other VMs, if there are any.
 const staleAfter = 3 * time.Second
 
@@ -153,7 +159,7 @@
 	if old.isSilent {
 		logevent.VMSilenceEnded.Log(f.log).Str("neighbour", m.Name).Send()
 	}
-	if m.Name != f.self && (m.Zone != f.zone || m.Revision > old.Revision || m.IsStoreUnreachable != old.IsStoreUnreachable) {
+	if m.Name != f.self && (m.Zone != f.zone || m.Position().After(old.Position()) || m.IsStoreUnreachable != old.IsStoreUnreachable) {
 		select {
 		case f.updates <- struct{}{}:
 		default:
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -215,3 +215,76 @@
 		})
 	}
 }
+
+// TestRestoredStoreGivesALeaseToAnotherOwner guards against a VM that renews or ends the lease of another owner after the store has
+// come back from an older copy of itself and has given out the ID of the VM's lease again.
+func TestRestoredStoreGivesALeaseToAnotherOwner(t *testing.T) {
+	for _, hearsOfEra := range []bool{true, false} {
+		t.Run(fmt.Sprintf("hears of the era: %t", hearsOfEra), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				store := kvtest.New()
+				client, other := store.Client(), store.Client()
+				backup := store.Backup()
+				r := membership.NewRegistrar(client, member(0, "a"), true, zerolog.Nop())
+				go r.Run(ctx)
+				time.Sleep(time.Second)
+				registered := func() []kv.Item {
+					page, err := other.Range(ctx, "primrose/vms/", "")
+					c.Assert(err, qt.IsNil)
+					return page.Items
+				}
+				lease := registered()[0].Lease
+				store.Restore(backup)
+				again, err := other.Grant(ctx, time.Minute)
+				c.Assert(err, qt.IsNil)
+				c.Assert(again.ID, qt.Equals, lease)
+				_, err = other.Commit(ctx, kv.Txn{Writes: []kv.Write{{Key: "other", Value: []byte("1"), Lease: again.ID}}})
+				c.Assert(err, qt.IsNil)
+				if hearsOfEra {
+					r.VerifyRegistration(2, map[string]kv.Item{})
+					time.Sleep(100 * time.Millisecond)
+				} else {
+					// Any response tells the client of the era.
+					_, err = client.Range(ctx, "x", "")
+					c.Assert(err, qt.IsNil)
+					time.Sleep(10 * time.Second)
+				}
+				c.Assert(registered(), qt.HasLen, 1)
+				c.Check(registered()[0].Lease, qt.Not(qt.Equals), lease)
+				c.Assert(r.Deregister(ctx), qt.IsNil)
+				c.Check(registered(), qt.HasLen, 0)
+				page, err := other.Range(ctx, "other", "")
+				c.Assert(err, qt.IsNil)
+				c.Check(page.Items, qt.HasLen, 1)
+				cancel()
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// TestRegistrationSurvivesARestoredStore checks that a VM whose registration the restored store still has does not write it again.
+func TestRegistrationSurvivesARestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		store := kvtest.New()
+		client := store.Client()
+		r := membership.NewRegistrar(client, member(0, "a"), true, zerolog.Nop())
+		go r.Run(ctx)
+		time.Sleep(time.Second)
+		store.Restore(store.Backup())
+		page, err := client.Range(ctx, "primrose/vms/", "")
+		c.Assert(err, qt.IsNil)
+		r.VerifyRegistration(page.Era, map[string]kv.Item{page.Items[0].Key: page.Items[0]})
+		before := store.Calls()
+		time.Sleep(10 * time.Second)
+		c.Check(store.Calls()-before, qt.Equals, 1)
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/membership/readers.go
+++ b/internal/membership/readers.go
@@ -128,7 +128,7 @@
 	Confirmed time.Time
 }
 
-// Sources returns the other live VMs of the zone and the store readers of other zones, sorted by descending revision
+// Sources returns the other live VMs of the zone and the store readers of other zones, sorted by descending position
 // and then by descending time of confirmation.
 func (f *Fleet) Sources() []Source {
 	f.mu.Lock()
@@ -146,7 +146,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b Source) int {
-		return cmp.Or(cmp.Compare(b.Revision, a.Revision), b.Confirmed.Compare(a.Confirmed))
+		return cmp.Or(b.Position().Compare(a.Position()), b.Confirmed.Compare(a.Confirmed))
 	})
 	return out
 }
--- a/internal/membership/registrar.go
+++ b/internal/membership/registrar.go
@@ -44,7 +44,7 @@
 	log          zerolog.Logger
 
 	mu    sync.Mutex
-	lease kv.LeaseID
+	lease kv.Lease
 	// isWritten is set if the registration has been written under the lease.
 	isWritten    bool
 	deregistered bool
@@ -102,6 +102,45 @@
 	}
 }
 
+// VerifyRegistration checks the registration against the items of a store that has come back from an older copy of itself. If it
+// was written or its lease was granted in the time that the store has lost, the VM registers again at once.
+func (r *Registrar) VerifyRegistration(era uint64, items map[string]kv.Item) {
+	item, found := items[r.key()]
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.deregistered || r.lease.ID == 0 || r.lease.Era >= era:
+		return
+	case found && item.Lease == r.lease.ID:
+		r.lease.Era = era
+		return
+	}
+	r.lease, r.isWritten = kv.Lease{}, false
+	select {
+	case r.removed <- struct{}{}:
+	default:
+	}
+}
+
+// verifyLease forgets the lease if the store has begun a new era in which the registration is not attached to it: the ID may then
+// belong to the lease of another owner.
+func (r *Registrar) verifyLease(ctx context.Context) error {
+	lease, _ := r.leaseState()
+	if lease.ID == 0 || lease.Era >= r.store.Era() {
+		return nil
+	}
+	page, err := r.store.Range(ctx, r.key(), "")
+	if err != nil {
+		return err
+	}
+	items := map[string]kv.Item{}
+	for _, i := range page.Items {
+		items[i.Key] = i
+	}
+	r.VerifyRegistration(page.Era, items)
+	return nil
+}
+
 func (r *Registrar) isDeregistered() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -131,7 +170,7 @@
 			return err
 		}
 		r.isResumed.Store(true)
-		r.setLeaseState(item.Lease, true)
+		r.setLeaseState(kv.Lease{ID: item.Lease, Era: page.Era}, true)
 		logevent.Registered.Log(r.log).Uint64("lease", uint64(item.Lease)).Bool("resumed", true).Send()
 	}
 	return nil
@@ -143,14 +182,17 @@
 // renew extends the lease, or registers the VM again if there is none. A lease whose registration could not be written
 // or has been removed is reused.
 func (r *Registrar) renew(ctx context.Context) error {
+	if err := r.verifyLease(ctx); err != nil {
+		return err
+	}
 	lease, isWritten := r.leaseState()
-	if lease != 0 {
+	if lease.ID != 0 {
 		err := r.extend(ctx, lease, isWritten)
 		if !errors.Is(err, kv.ErrNoLease) {
 			return err
 		}
 	}
-	lease, _, err := r.store.Grant(ctx, registrationLease)
+	lease, err := r.store.Grant(ctx, registrationLease)
 	if err != nil {
 		return err
 	}
@@ -158,42 +200,42 @@
 	return r.write(ctx, lease)
 }
 
-func (r *Registrar) extend(ctx context.Context, lease kv.LeaseID, isWritten bool) error {
+func (r *Registrar) extend(ctx context.Context, lease kv.Lease, isWritten bool) error {
 	if isWritten {
-		return r.store.KeepAlive(ctx, lease)
+		return r.store.KeepAlive(ctx, lease.ID)
 	}
 	return r.write(ctx, lease)
 }
 
 // write writes the registration under a lease, or revokes the lease if the VM has been deregistered meanwhile.
-func (r *Registrar) write(ctx context.Context, lease kv.LeaseID) error {
+func (r *Registrar) write(ctx context.Context, lease kv.Lease) error {
 	if r.isDeregistered() {
-		return r.store.Revoke(ctx, lease)
+		return r.store.Revoke(ctx, lease.ID)
 	}
 	record, err := json.Marshal(r.self)
 	if err != nil {
 		return err
 	}
-	write := kv.Write{Key: r.key(), Value: record, Lease: lease}
+	write := kv.Write{Key: r.key(), Value: record, Lease: lease.ID}
 	_, err = r.store.Commit(ctx, kv.Txn{Writes: []kv.Write{write}})
 	if errors.Is(err, kv.ErrNoLease) {
-		r.setLeaseState(0, false)
+		r.setLeaseState(kv.Lease{}, false)
 	}
 	if err != nil {
 		return err
 	}
 	r.setLeaseState(lease, true)
-	logevent.Registered.Log(r.log).Uint64("lease", uint64(lease)).Send()
+	logevent.Registered.Log(r.log).Uint64("lease", uint64(lease.ID)).Send()
 	return nil
 }
 
-func (r *Registrar) leaseState() (lease kv.LeaseID, isWritten bool) {
+func (r *Registrar) leaseState() (lease kv.Lease, isWritten bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.lease, r.isWritten
 }
 
-func (r *Registrar) setLeaseState(lease kv.LeaseID, isWritten bool) {
+func (r *Registrar) setLeaseState(lease kv.Lease, isWritten bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lease, r.isWritten = lease, isWritten
@@ -202,16 +244,18 @@
 	}
 }
 
-// Deregister removes the registration and ends its lease. The VM does not register again.
+// Deregister removes the registration. The VM does not register again. The lease ends by itself: if the store has been restored,
+// its ID may belong to another owner by now, whose keys a revocation would remove.
 func (r *Registrar) Deregister(ctx context.Context) error {
 	r.mu.Lock()
 	lease := r.lease
-	r.lease, r.deregistered = 0, true
+	r.lease, r.deregistered = kv.Lease{}, true
 	r.mu.Unlock()
-	if lease == 0 {
+	if lease.ID == 0 {
 		return nil
 	}
-	return r.store.Revoke(ctx, lease)
+	_, err := r.store.Commit(ctx, kv.Txn{Deletes: []string{r.key()}})
+	return err
 }
 
 // ZonePrefix returns the prefix of the registration keys of an availability zone.
--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -10,6 +10,10 @@
 //
 // The store drops keys whose owners did not renew them, even while it is down itself. Deletions after an outage that was long
 // enough for this are therefore tentative until a grace period after its end, in which a live owner writes its key again.
+//
+// A store that comes back from an older copy of itself begins a new era, and may give out again the revisions that it had given
+// out since. A copy of another era is therefore replaced as a whole. What owners had written in the lost time is kept until they
+// write it again: a copy never goes back to a state that its owner has left.
 package mirror
 
 import (
@@ -28,22 +32,45 @@
 	// TentativeFor is how much longer the deletion is tentative, as of when the entry is passed on. It is 0 for a deletion
 	// that is certain.
 	TentativeFor time.Duration `json:",omitempty"`
+	// Last is the value that a deleted key had.
+	Last []byte `json:",omitempty"`
+	// InStore is the value that the store still has for a key that was removed in an earlier era, and ReturnsIn how much longer
+	// the key counts as removed.
+	InStore   []byte        `json:",omitempty"`
+	ReturnsIn time.Duration `json:",omitempty"`
 }
 
-// Changes holds the entries of a copy that changed after a revision, and the revision up to which the copy is complete.
+// Changes holds the entries of a copy that changed after a position, or all of them, and the position up to which the copy is
+// complete.
 type Changes struct {
 	Entries  []Entry
 	Revision uint64
+	Era      uint64 `json:",omitempty"`
+	// TentativeFor is how much longer the deletions of an outage are tentative.
+	TentativeFor time.Duration `json:",omitempty"`
+}
+
+func (c Changes) position() kv.Position { return kv.Position{Era: c.Era, Revision: c.Revision} }
+
+// Owners knows the order in which the owners of keys write them.
+type Owners interface {
+	// IsNewer reports whether the owner of a key wrote the state a after the state b.
+	IsNewer(a, b kv.Item) bool
 }
 
-// Copy holds the items of the store and the revision up to which it is complete. It is safe for concurrent use.
+// Copy holds the items of the store and the position up to which it is complete. It is safe for concurrent use.
 type Copy struct {
 	// apply receives changes in the order of the store, one call at a time.
-	apply func([]kv.Item)
+	apply  func([]kv.Item)
+	owners Owners
+	// onNewEra, if set, is called when a copy of a new era is adopted, with the items that the store has.
+	onNewEra func(era uint64, items map[string]kv.Item)
 
-	mu       sync.Mutex
-	entries  map[string]Entry
-	revision uint64
+	mu      sync.Mutex
+	entries map[string]Entry
+	at      kv.Position
+	// superseded holds the keys whose state in the store is older than that of the copy, with the state in the store.
+	superseded map[string]supersededState
 	// confirmed is the time at which the copy was last known to be complete.
 	confirmed time.Time
 	// outage is the last outage of the store, as far as this VM has noticed it.
@@ -54,15 +81,22 @@
 }
 
 // NewCopy returns an empty Copy. apply receives its changes and must not call the Copy.
-func NewCopy(apply func([]kv.Item)) *Copy {
-	return &Copy{apply: apply, entries: map[string]Entry{}, tentativeUntil: map[string]time.Time{}}
+func NewCopy(apply func([]kv.Item), owners Owners) *Copy {
+	return &Copy{
+		apply: apply, owners: owners, entries: map[string]Entry{}, tentativeUntil: map[string]time.Time{},
+		superseded: map[string]supersededState{},
+	}
 }
 
-// Revision returns the revision up to which the copy is complete, or 0 before the first full read.
-func (c *Copy) Revision() uint64 {
+// OnNewEra sets a function that is called when a copy of a new era is adopted, with the items that the store has. It must be
+// set before the Copy is used, and must not call it.
+func (c *Copy) OnNewEra(f func(era uint64, items map[string]kv.Item)) { c.onNewEra = f }
+
+// Position returns the position up to which the copy is complete, which has revision 0 before the first full read.
+func (c *Copy) Position() kv.Position {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.revision
+	return c.at
 }
 
 // Age returns the time since the copy was last known to be complete.
@@ -88,18 +122,22 @@
 	c.outage.recordFailure(c.confirmed, now)
 }
 
-// Since returns the entries that changed after a revision, in the order of their revisions. It includes deleted keys.
-func (c *Copy) Since(revision uint64, now time.Time) Changes {
+// Since returns the entries that changed after a position, in the order of their revisions. It includes deleted keys. After a
+// position of another era it returns all entries.
+func (c *Copy) Since(after kv.Position, now time.Time) Changes {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := Changes{Revision: c.revision}
+	out := Changes{Revision: c.at.Revision, Era: c.at.Era, TentativeFor: max(0, c.outage.tentativeUntil().Sub(now))}
 	for key, e := range c.entries {
-		if e.Revision <= revision {
+		if after.Era == c.at.Era && e.Revision <= after.Revision {
 			continue
 		}
 		if until, isTentative := c.tentativeUntil[key]; isTentative {
 			e.TentativeFor = max(0, until.Sub(now))
 		}
+		if s, isSuperseded := c.superseded[key]; isSuperseded && !s.removedUntil.IsZero() {
+			e.InStore, e.ReturnsIn = s.item.Value, max(time.Millisecond, s.removedUntil.Sub(now))
+		}
 		out.Entries = append(out.Entries, e)
 	}
 	slices.SortFunc(out.Entries, byRevision)
@@ -108,24 +146,39 @@
 
 func byRevision(a, b Entry) int { return cmp.Compare(a.Revision, b.Revision) }
 
-// AdoptFromPeer applies changes fetched from another VM's copy.
+// AdoptFromPeer applies changes fetched from another VM's copy. Those of an earlier era are ignored, and those of a later one
+// must be complete.
 func (c *Copy) AdoptFromPeer(changes Changes, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	switch {
+	case changes.Era < c.at.Era:
+		return
+	case changes.Era > c.at.Era && c.at.Revision > 0:
+		c.adoptEra(changes, now)
+		return
+	}
 	c.applyNewer(changes.Entries, now)
-	c.revision = max(c.revision, changes.Revision)
+	c.advance(changes.position())
 }
 
-// Adopt applies changes read from the store.
+// Adopt applies changes read from the store. They must belong to the era of the copy.
 func (c *Copy) Adopt(changes kv.Changes, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.outage.recordEnd(c.confirmed, now)
 	c.applyNewer(c.toEntries(changes.Items, now), now)
-	c.revision = max(c.revision, changes.Revision)
+	c.advance(kv.Position{Era: c.at.Era, Revision: changes.Revision})
 	c.confirmed = now
 }
 
+// advance records the position up to which the copy is complete. The caller holds c.mu.
+func (c *Copy) advance(to kv.Position) {
+	if to.After(c.at) {
+		c.at = to
+	}
+}
+
 // Preload applies items read before the first full read. The copy itself stores them only with the full read.
 func (c *Copy) Preload(items []kv.Item) {
 	c.mu.Lock()
@@ -135,12 +188,26 @@
 	}
 }
 
-// AdoptFull applies the result of a full read of the store whose first page was read at the given revision. Known items
-// that the read does not contain are treated as deleted.
-func (c *Copy) AdoptFull(read []kv.Item, revision uint64, now time.Time) {
+// AdoptFull applies the result of a full read of the store whose first page was read at the given position. Known items
+// that the read does not contain are treated as deleted. A read of an earlier era is ignored.
+func (c *Copy) AdoptFull(read []kv.Item, at kv.Position, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if at.Era < c.at.Era {
+		return
+	}
 	c.outage.recordEnd(c.confirmed, now)
+	if at.Era > c.at.Era && c.at.Revision > 0 {
+		c.outage.endedAt = now
+		entries := make([]Entry, 0, len(read))
+		for _, i := range read {
+			entries = append(entries, Entry{Item: i})
+		}
+		c.adoptEra(Changes{Entries: entries, Revision: at.Revision, Era: at.Era, TentativeFor: deletionGrace}, now)
+		c.confirmed = now
+		return
+	}
+	revision := at.Revision
 	changes := slices.Clone(read)
 	missing := maps.Clone(c.entries)
 	for _, i := range read {
@@ -154,7 +221,7 @@
 	}
 	slices.SortStableFunc(changes, func(a, b kv.Item) int { return cmp.Compare(a.Revision, b.Revision) })
 	c.applyNewer(c.toEntries(changes, now), now)
-	c.revision = max(c.revision, revision)
+	c.advance(at)
 	c.confirmed = now
 }
 
@@ -181,8 +248,17 @@
 		if known && !isNewer {
 			continue
 		}
+		if _, isSuperseded := c.superseded[e.Key]; isSuperseded {
+			if !e.Deleted && !old.Deleted && c.owners.IsNewer(old.Item, e.Item) {
+				old.Revision = e.Revision
+				c.entries[e.Key] = old
+				continue
+			}
+			delete(c.superseded, e.Key)
+		}
 		// A deleted key keeps its revision, so that an older write of it is not applied as a new one.
-		c.entries[e.Key] = Entry{Item: e.Item}
+		c.entries[e.Key] = e.withLast(old)
+		c.holdRemoved(e, now)
 		delete(c.tentativeUntil, e.Key)
 		if e.TentativeFor > 0 && known && !old.Deleted {
 			c.tentativeUntil[e.Key] = now.Add(e.TentativeFor)
@@ -195,11 +271,12 @@
 	}
 }
 
-// ApplyDueDeletions applies the tentative deletions whose grace period has passed.
-func (c *Copy) ApplyDueDeletions(now time.Time) {
+// ApplyDue applies the tentative deletions whose grace period has passed, and the entries that the store still has though they
+// had been deleted in an earlier era.
+func (c *Copy) ApplyDue(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var due []kv.Item
+	due := c.dueReturns(now)
 	for key, at := range c.tentativeUntil {
 		if now.Before(at) {
 			continue
@@ -211,3 +288,15 @@
 		c.apply(due)
 	}
 }
+
+// withLast returns the entry as a copy keeps it: a deletion with the value that the key had.
+func (e Entry) withLast(old Entry) Entry {
+	out := Entry{Item: e.Item, Last: e.Last}
+	if e.Deleted && len(out.Last) == 0 {
+		out.Last = old.Value
+		if old.Deleted {
+			out.Last = old.Last
+		}
+	}
+	return out
+}
--- a/internal/mirror/copy_test.go
+++ b/internal/mirror/copy_test.go
@@ -24,6 +24,11 @@
 	}
 }
 
+// numbered is a mirror.Owners whose owners write ascending numbers of one digit.
+type numbered struct{}
+
+func (numbered) IsNewer(a, b kv.Item) bool { return string(a.Value) > string(b.Value) }
+
 func written(key, value string, revision uint64) kv.Item {
 	return kv.Item{Key: key, Value: []byte(value), Revision: revision}
 }
@@ -51,12 +56,12 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			seen := recorder{}
-			c := mirror.NewCopy(seen.apply)
-			c.AdoptFull([]kv.Item{written("a", "1", 2)}, 2, start.Add(-longOutage))
+			c := mirror.NewCopy(seen.apply, numbered{})
+			c.AdoptFull([]kv.Item{written("a", "1", 2)}, kv.Position{Revision: 2}, start.Add(-longOutage))
 			c.RecordFailure(start)
-			c.AdoptFull(nil, 5, start)
+			c.AdoptFull(nil, kv.Position{Revision: 5}, start)
 			test.then(c)
-			c.ApplyDueDeletions(start.Add(test.at))
+			c.ApplyDue(start.Add(test.at))
 			_, exists := seen["a"]
 			qt.Check(t, exists, qt.Equals, test.exists)
 		})
@@ -67,14 +72,14 @@
 func TestTentativeDeletionPropagates(t *testing.T) {
 	start := time.Unix(1000, 0)
 	reader, follower := recorder{}, recorder{}
-	from, to := mirror.NewCopy(reader.apply), mirror.NewCopy(follower.apply)
-	from.AdoptFull([]kv.Item{written("a", "1", 2)}, 2, start.Add(-longOutage))
-	to.AdoptFromPeer(from.Since(0, start), start)
+	from, to := mirror.NewCopy(reader.apply, numbered{}), mirror.NewCopy(follower.apply, numbered{})
+	from.AdoptFull([]kv.Item{written("a", "1", 2)}, kv.Position{Revision: 2}, start.Add(-longOutage))
+	to.AdoptFromPeer(from.Since(kv.Position{Revision: 0}, start), start)
 	from.RecordFailure(start)
-	from.AdoptFull(nil, 5, start)
-	to.AdoptFromPeer(from.Since(to.Revision(), start), start)
+	from.AdoptFull(nil, kv.Position{Revision: 5}, start)
+	to.AdoptFromPeer(from.Since(to.Position(), start), start)
 	qt.Check(t, follower["a"], qt.Equals, "1")
-	to.ApplyDueDeletions(start.Add(time.Minute))
+	to.ApplyDue(start.Add(time.Minute))
 	qt.Check(t, follower["a"], qt.Equals, "")
 }
 
@@ -96,17 +101,17 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			reader, follower := recorder{}, recorder{}
-			from, to := mirror.NewCopy(reader.apply), mirror.NewCopy(follower.apply)
-			from.AdoptFull([]kv.Item{written("a", "1", 2)}, 2, start.Add(-test.outage))
-			to.AdoptFromPeer(from.Since(0, start), start)
+			from, to := mirror.NewCopy(reader.apply, numbered{}), mirror.NewCopy(follower.apply, numbered{})
+			from.AdoptFull([]kv.Item{written("a", "1", 2)}, kv.Position{Revision: 2}, start.Add(-test.outage))
+			to.AdoptFromPeer(from.Since(kv.Position{Revision: 0}, start), start)
 			from.RecordFailure(start)
 			from.Adopt(kv.Changes{Revision: 3}, start)
 			readAt := start.Add(test.readAt)
 			from.Adopt(kv.Changes{Items: []kv.Item{{Key: "a", Revision: 5, Deleted: true}}, Revision: 5}, readAt)
 			passedOnAt := readAt.Add(50 * time.Millisecond)
-			to.AdoptFromPeer(from.Since(3, passedOnAt), passedOnAt)
+			to.AdoptFromPeer(from.Since(kv.Position{Revision: 3}, passedOnAt), passedOnAt)
 			for _, c := range []*mirror.Copy{from, to} {
-				c.ApplyDueDeletions(start.Add(test.gone))
+				c.ApplyDue(start.Add(test.gone))
 			}
 			qt.Check(t, reader, qt.HasLen, 0)
 			qt.Check(t, follower, qt.HasLen, 0)
@@ -133,7 +138,7 @@
 		want := recorder{}
 		want.apply(history)
 		seen := recorder{}
-		c := mirror.NewCopy(seen.apply)
+		c := mirror.NewCopy(seen.apply, numbered{})
 		for range rapid.IntRange(0, 10).Draw(rt, "views") {
 			from := rapid.IntRange(0, len(history)-1).Draw(rt, "from")
 			to := rapid.IntRange(from, len(history)-1).Draw(rt, "to")
--- a/internal/mirror/feed.go
+++ b/internal/mirror/feed.go
@@ -33,11 +33,11 @@
 	return &Feed{copy: c, largeTransfers: make(chan struct{}, maxLargeTransfers)}
 }
 
-// Serve passes the changes after a revision to send; after 0 that is the full copy. It returns ErrBusy if the transfer is
-// large while maxLargeTransfers are in progress.
-func (f *Feed) Serve(after uint64, send func(Changes) error) error {
+// Serve passes the changes after a position to send; after revision 0 or in another era that is the full copy. It returns
+// ErrBusy if the transfer is large while maxLargeTransfers are in progress.
+func (f *Feed) Serve(after kv.Position, send func(Changes) error) error {
 	changes := f.copy.Since(after, time.Now())
-	if after > 0 && !changes.IsLarge() {
+	if !changes.IsLarge(after) {
 		return send(changes)
 	}
 	select {
@@ -50,8 +50,12 @@
 	}
 }
 
-// IsLarge reports whether the changes are too many to be sent to all VMs of a zone at once.
-func (c Changes) IsLarge() bool {
+// IsLarge reports whether the changes after a position are too many to be sent to all VMs of a zone at once. A full copy always
+// is.
+func (c Changes) IsLarge(after kv.Position) bool {
+	if after.Revision == 0 || after.Era != c.Era {
+		return true
+	}
 	size := 0
 	for _, e := range c.Entries {
 		size += len(e.Value)
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -64,8 +64,9 @@
 // Source is another VM whose copy can be fetched.
 type Source struct {
 	// Address is where the VM serves its copy.
-	Address  string
-	Revision uint64
+	Address string
+	// At is the position up to which the VM's copy is complete.
+	At kv.Position
 	// Confirmed is the time at which the VM's copy was last known to be complete.
 	Confirmed time.Time
 }
@@ -83,7 +84,7 @@
 // Fetcher fetches changes from another VM's copy. It returns ErrBusy if that VM is serving as many large transfers as it
 // may.
 type Fetcher interface {
-	Fetch(ctx context.Context, address string, after uint64) (Changes, error)
+	Fetch(ctx context.Context, address string, after kv.Position) (Changes, error)
 }
 
 // Options configures a Mirror.
@@ -144,7 +145,7 @@
 
 func (m *Mirror) followPeers(ctx context.Context) {
 	for ctx.Err() == nil {
-		m.Copy.ApplyDueDeletions(time.Now())
+		m.Copy.ApplyDue(time.Now())
 		m.fetchFromPeers(ctx)
 		periodic.Await(ctx, m.Peers.Updates(), pollInterval)
 	}
@@ -167,7 +168,7 @@
 // A VM whose call is refused tries again: without peers it would consider itself the only VM and read the full store.
 func (m *Mirror) discoverZonePeers(ctx context.Context) {
 	periodic.Await(ctx, m.Registered, registrationWait)
-	for ctx.Err() == nil && m.Copy.Revision() == 0 {
+	for ctx.Err() == nil && m.isCopyEmpty() {
 		items, err := m.readZoneRegistrations(ctx)
 		if err == nil {
 			m.Copy.Preload(items)
@@ -223,7 +224,7 @@
 	switch {
 	case rank == 0:
 		return true
-	case m.Copy.Revision() == 0:
+	case m.isCopyEmpty():
 		return rank > 0 && now.Sub(m.peersDiscoveredAt) > reserveFullReadDelay || m.isPeerCopyWaitOver(now)
 	case rank > 0:
 		return m.age(now) > reserveReadAge
@@ -237,7 +238,7 @@
 // isTransferExpected reports whether a VM with a newer and fresh copy has become known within transferWait.
 func (m *Mirror) isTransferExpected(now time.Time) bool {
 	hasNewer := slices.ContainsFunc(m.Peers.Sources(), func(s Source) bool {
-		return s.Revision > m.Copy.Revision() && now.Sub(s.Confirmed) <= followerReadAge
+		return s.At.After(m.Copy.Position()) && now.Sub(s.Confirmed) <= followerReadAge
 	})
 	if !hasNewer {
 		m.newerSince = time.Time{}
@@ -251,7 +252,7 @@
 
 // isPeerCopyWaitOver reports whether a VM without a copy has waited long enough for the copy of another VM.
 func (m *Mirror) isPeerCopyWaitOver(now time.Time) bool {
-	hasSource := slices.ContainsFunc(m.Peers.Sources(), func(s Source) bool { return s.Revision > 0 })
+	hasSource := slices.ContainsFunc(m.Peers.Sources(), func(s Source) bool { return s.At.Revision > 0 })
 	if hasSource && m.firstSourceAt.IsZero() {
 		m.firstSourceAt = now
 	}
@@ -261,10 +262,10 @@
 	return now.Sub(m.firstSourceAt) > m.peerCopyWait
 }
 
-// age returns the age of the copy. It first confirms the copy by those of other VMs that have no newer revision.
+// age returns the age of the copy. It first confirms the copy by those of other VMs that have no newer one.
 func (m *Mirror) age(now time.Time) time.Duration {
 	for _, s := range m.Peers.Sources() {
-		if s.Revision <= m.Copy.Revision() {
+		if !s.At.After(m.Copy.Position()) {
 			m.Copy.Confirm(s.Confirmed)
 		}
 	}
@@ -274,7 +275,7 @@
 // read makes one call to the store, or those of a full read.
 func (m *Mirror) read(ctx context.Context) {
 	var err error
-	if m.Copy.Revision() == 0 {
+	if m.isCopyEmpty() {
 		err = m.readFull(ctx)
 	} else {
 		err = m.watch(ctx)
@@ -290,15 +291,22 @@
 	m.recordSuccess()
 }
 
+// isCopyEmpty reports whether this VM has no copy yet.
+func (m *Mirror) isCopyEmpty() bool { return m.Copy.Position().Revision == 0 }
+
 func (m *Mirror) watch(ctx context.Context) error {
-	changes, err := m.Store.Watch(ctx, "", m.Copy.Revision(), watchWait)
+	at := m.Copy.Position()
+	changes, err := m.Store.Watch(ctx, "", at.Revision, watchWait)
 	if errors.Is(err, kv.ErrCompacted) {
-		logevent.HistoryDiscarded.Log(m.Log).Uint64("revision", m.Copy.Revision()).Send()
+		logevent.HistoryDiscarded.Log(m.Log).Uint64("revision", at.Revision).Send()
 		return m.readFull(ctx)
 	}
 	if err != nil {
 		return err
 	}
+	if now := m.Copy.Position(); changes.Era != now.Era || now.Era != at.Era {
+		return m.resolveEra(ctx, changes.Era, now.Era)
+	}
 	m.Copy.Adopt(changes, time.Now())
 	m.OnConfirm()
 	if isLarge(changes.Items) {
@@ -310,36 +318,50 @@
 	return nil
 }
 
+// resolveEra handles changes of another era than that of the copy, which may also have been replaced during the watch.
+func (m *Mirror) resolveEra(ctx context.Context, ofChanges, ofCopy uint64) error {
+	if ofChanges <= ofCopy {
+		// A late response of an earlier era, or the watch of a copy that is gone.
+		return nil
+	}
+	logevent.StoreRestored.Log(m.Log).Uint64("era", ofChanges).Uint64("copy_era", ofCopy).Send()
+	return m.readFull(ctx)
+}
+
 // fullRead is a full read of the store, page by page. The pages are not a snapshot, so the copy is complete only up to
-// the revision of the first page.
+// the position of the first page.
 type fullRead struct {
 	items []kv.Item
-	// revision is the revision of the first page, or 0 before it is read.
-	revision uint64
+	// at is the position of the first page, with revision 0 before it is read.
+	at kv.Position
 	// last is the last key that was read.
 	last string
 }
 
 // readFull reads all pages. After a failed call the next readFull continues with the missing page: many VMs that start at
-// once request more than the store serves in a second, and starting over would request even more. It stops if another
-// VM's copy has been adopted first.
+// once request more than the store serves in a second, and starting over would request even more. It starts over if a page is of
+// a later era than those before it, and stops if another VM's copy has been adopted first.
 func (m *Mirror) readFull(ctx context.Context) error {
-	known := m.Copy.Revision()
-	if m.pendingRead.revision < known {
+	known := m.Copy.Position()
+	if known.After(m.pendingRead.at) {
 		m.pendingRead = fullRead{}
 	}
-	for m.Copy.Revision() == known {
+	for m.Copy.Position() == known {
 		page, err := m.Store.Range(ctx, "", m.pendingRead.last)
 		if err != nil {
 			return err
 		}
 		pending := &m.pendingRead
-		if pending.revision == 0 {
-			pending.revision = page.Revision
+		switch {
+		case pending.at.Revision == 0:
+			pending.at = kv.Position{Era: page.Era, Revision: page.Revision}
+		case page.Era != pending.at.Era:
+			m.pendingRead = fullRead{}
+			continue
 		}
 		pending.items = append(pending.items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
-			m.Copy.AdoptFull(pending.items, pending.revision, time.Now())
+			m.Copy.AdoptFull(pending.items, pending.at, time.Now())
 			m.OnStateChange()
 			break
 		}
@@ -352,7 +374,7 @@
 // shuffleFresh shuffles the sources with a fresh copy, so that VMs that start together do not all fetch the full copy
 // of the same VM.
 func shuffleFresh(sources []Source, now time.Time) {
-	fresh := slices.IndexFunc(sources, func(s Source) bool { return s.Revision == 0 || now.Sub(s.Confirmed) > followerReadAge })
+	fresh := slices.IndexFunc(sources, func(s Source) bool { return s.At.Revision == 0 || now.Sub(s.Confirmed) > followerReadAge })
 	if fresh < 0 {
 		fresh = len(sources)
 	}
@@ -362,7 +384,7 @@
 // shuffleNewest shuffles the sources with the newest copy but for the first, so that the VMs that the first one turns away
 // do not all turn to the second.
 func shuffleNewest(sources []Source) {
-	newest := slices.IndexFunc(sources, func(s Source) bool { return s.Revision < sources[0].Revision })
+	newest := slices.IndexFunc(sources, func(s Source) bool { return sources[0].At.After(s.At) })
 	if newest < 0 {
 		newest = len(sources)
 	}
@@ -372,17 +394,17 @@
 }
 
 // fetchFromPeers updates the copy from the freshest one that can be fetched, or confirms it if no other VM has a newer
-// revision.
+// one.
 func (m *Mirror) fetchFromPeers(ctx context.Context) {
 	sources := m.Peers.Sources()
-	if m.Copy.Revision() == 0 {
+	if m.isCopyEmpty() {
 		shuffleFresh(sources, time.Now())
 	} else {
 		shuffleNewest(sources)
 	}
 	for _, s := range sources {
-		if s.Revision > m.Copy.Revision() {
-			changes, err := m.Fetcher.Fetch(ctx, s.Address, m.Copy.Revision())
+		if at := m.Copy.Position(); s.At.After(at) {
+			changes, err := m.Fetcher.Fetch(ctx, s.Address, at)
 			if errors.Is(err, ErrBusy) {
 				continue
 			}
@@ -390,10 +412,10 @@
 				logevent.FetchFailed.Log(m.Log).Str("peer", s.Address).Err(err).Send()
 				continue
 			}
-			isFirst := m.Copy.Revision() == 0
+			isReplaced := at.Revision == 0 || changes.Era != at.Era
 			m.Copy.AdoptFromPeer(changes, time.Now())
 			m.Copy.Confirm(s.Confirmed)
-			if isFirst || changes.IsLarge() {
+			if isReplaced || changes.IsLarge(at) {
 				m.OnStateChange()
 			}
 			return
@@ -409,7 +431,7 @@
 	if m.isStoreUnreachable.Swap(true) {
 		return
 	}
-	logevent.StoreUnreachable.Log(m.Log).Uint64("revision", m.Copy.Revision()).Err(err).Send()
+	logevent.StoreUnreachable.Log(m.Log).Uint64("revision", m.Copy.Position().Revision).Err(err).Send()
 	m.OnStateChange()
 }
 
@@ -418,7 +440,7 @@
 	if !m.isStoreUnreachable.Swap(false) {
 		return
 	}
-	logevent.StoreRecovered.Log(m.Log).Uint64("revision", m.Copy.Revision()).Send()
+	logevent.StoreRecovered.Log(m.Log).Uint64("revision", m.Copy.Position().Revision).Send()
 	m.OnStateChange()
 }
 
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -93,7 +93,7 @@
 	}
 }
 
-func (c *cluster) Fetch(_ context.Context, address string, after uint64) (mirror.Changes, error) {
+func (c *cluster) Fetch(_ context.Context, address string, after kv.Position) (mirror.Changes, error) {
 	for _, v := range c.vms {
 		if v.name == address {
 			return c.transfer(v, after)
@@ -107,12 +107,12 @@
 
 // transfer sends the changes over the link of the VM that serves them. Concurrent transfers share the link. Serve
 // returns sooner, since the socket buffers the full copy.
-func (c *cluster) transfer(from *vm, after uint64) (changes mirror.Changes, err error) {
+func (c *cluster) transfer(from *vm, after kv.Position) (changes mirror.Changes, err error) {
 	err = from.feed.Serve(after, func(served mirror.Changes) error {
 		changes = served
 		return nil
 	})
-	if err != nil || after > 0 && !changes.IsLarge() || c.fullCopyTime == 0 {
+	if err != nil || !changes.IsLarge(after) || c.fullCopyTime == 0 {
 		return changes, err
 	}
 	took := time.Duration(from.transfers.Add(1)) * c.fullCopyTime
@@ -129,7 +129,7 @@
 func (p peers) Sources() []mirror.Source {
 	var out []mirror.Source
 	for _, m := range p.Fleet.Sources() {
-		out = append(out, mirror.Source{Address: m.Name, Revision: m.Revision, Confirmed: m.Confirmed})
+		out = append(out, mirror.Source{Address: m.Name, At: m.Position(), Confirmed: m.Confirmed})
 	}
 	return out
 }
@@ -161,7 +161,7 @@
 				v.fleet.Register(c.member(other))
 			}
 		}
-		v.replica = mirror.NewCopy(v.apply)
+		v.replica = mirror.NewCopy(v.apply, numbered{})
 		v.feed = mirror.NewFeed(v.replica)
 		announce := func() {
 			c.sendHeartbeat(v, c.knownPeers(v))
@@ -215,8 +215,9 @@
 
 // status returns what the VM announces about itself.
 func (v *vm) status() membership.Member {
+	at := v.replica.Position()
 	return membership.Member{
-		Name: v.name, Zone: v.zone, Region: "r", IsStoreUnreachable: v.mirror.IsStoreUnreachable(), Revision: v.replica.Revision(),
+		Name: v.name, Zone: v.zone, Region: "r", IsStoreUnreachable: v.mirror.IsStoreUnreachable(), Revision: at.Revision, Era: at.Era,
 		AgeMS: v.replica.Age(time.Now()).Milliseconds(), IsReader: v.fleet.ReaderRank() == 0,
 	}
 }
--- a/internal/vmpeer/feed.go
+++ b/internal/vmpeer/feed.go
@@ -1,6 +1,7 @@
 package vmpeer
 
 import (
+	"cmp"
 	"compress/gzip"
 	"context"
 	"encoding/json"
@@ -14,6 +15,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/primroseladder/primroseladder/internal/kv"
 	"github.com/primroseladder/primroseladder/internal/mirror"
 	"github.com/primroseladder/primroseladder/internal/peererr"
 )
@@ -29,19 +31,26 @@
 )
 
 // FeedHandler returns the handler that serves the changes of a copy of the store. The full copy and large changes are
-// compressed, to a tenth of their size. A request without a valid revision gets 400, and one for them while the feed is
+// compressed, to a tenth of their size. A request without a valid position gets 400, and one for them while the feed is
 // busy gets 503.
 func FeedHandler(f *mirror.Feed) http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc(changesPath, func(w http.ResponseWriter, r *http.Request) {
-		after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+		query := r.URL.Query()
+		revision, err := strconv.ParseUint(query.Get("after"), 10, 64)
 		if err != nil {
 			http.Error(w, fmt.Sprintf("after: %v", err), http.StatusBadRequest)
 			return
 		}
+		era, err := strconv.ParseUint(cmp.Or(query.Get("era"), "0"), 10, 64)
+		if err != nil {
+			http.Error(w, fmt.Sprintf("era: %v", err), http.StatusBadRequest)
+			return
+		}
+		after := kv.Position{Era: era, Revision: revision}
 		err = f.Serve(after, func(c mirror.Changes) error {
 			w.Header().Set("Content-Type", "application/json")
-			if after == 0 || c.IsLarge() {
+			if c.IsLarge(after) {
 				return writeCompressed(w, c)
 			}
 			return json.NewEncoder(w).Encode(c)
@@ -78,16 +87,16 @@
 	}}}
 }
 
-// Fetch implements mirror.Fetcher. After revision 0 it fetches the full copy.
-func (f *Fetcher) Fetch(ctx context.Context, address string, after uint64) (mirror.Changes, error) {
+// Fetch implements mirror.Fetcher. After revision 0, or if the other VM's copy is of another era, it fetches the full copy.
+func (f *Fetcher) Fetch(ctx context.Context, address string, after kv.Position) (mirror.Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	changes, err := f.fetch(ctx, address, after)
 	return changes, peererr.Wrap(err, "fetch changes", address)
 }
 
-func (f *Fetcher) fetch(ctx context.Context, address string, after uint64) (out mirror.Changes, err error) {
-	query := url.Values{"after": {strconv.FormatUint(after, 10)}}
+func (f *Fetcher) fetch(ctx context.Context, address string, after kv.Position) (out mirror.Changes, err error) {
+	query := url.Values{"after": {strconv.FormatUint(after.Revision, 10)}, "era": {strconv.FormatUint(after.Era, 10)}}
 	target := url.URL{Scheme: "http", Host: address, Path: changesPath, RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
--- a/internal/vmpeer/feed_test.go
+++ b/internal/vmpeer/feed_test.go
@@ -18,29 +18,29 @@
 // TestFeedRoundTrip checks the transfer of the full copy, which is compressed, and of later changes, which are not.
 func TestFeedRoundTrip(t *testing.T) {
 	c := qt.New(t)
-	copied := mirror.NewCopy(func([]kv.Item) {})
+	copied := mirror.NewCopy(func([]kv.Item) {}, nil)
 	server := httptest.NewServer(FeedHandler(mirror.NewFeed(copied)))
 	defer server.Close()
-	copied.AdoptFull([]kv.Item{{Key: "a", Value: bytes.Repeat([]byte("x"), 10_000), Revision: 3}}, 3, time.Now())
+	copied.AdoptFull([]kv.Item{{Key: "a", Value: bytes.Repeat([]byte("x"), 10_000), Revision: 3}}, kv.Position{Revision: 3}, time.Now())
 
 	f := NewFetcher()
 	address := server.Listener.Addr().String()
-	full, err := f.Fetch(t.Context(), address, 0)
+	full, err := f.Fetch(t.Context(), address, kv.Position{Revision: 0})
 	c.Assert(err, qt.IsNil)
-	c.Check(full, qt.DeepEquals, copied.Since(0, time.Now()))
+	c.Check(full, qt.DeepEquals, copied.Since(kv.Position{Revision: 0}, time.Now()))
 
 	copied.Adopt(kv.Changes{Items: []kv.Item{{Key: "b", Value: []byte("y"), Revision: 4}}, Revision: 4}, time.Now())
-	later, err := f.Fetch(t.Context(), address, 3)
+	later, err := f.Fetch(t.Context(), address, kv.Position{Revision: 3})
 	c.Assert(err, qt.IsNil)
 	c.Check(later.Entries, qt.HasLen, 1)
-	c.Check(later, qt.DeepEquals, copied.Since(3, time.Now()))
+	c.Check(later, qt.DeepEquals, copied.Since(kv.Position{Revision: 3}, time.Now()))
 }
 
 // TestLargeChangesAreCompressedAndServedToFew checks that large changes, such as a configuration with many routes, are
 // compressed, and that a feed which is serving its maximum number of them rejects further requests for them at once.
 func TestLargeChangesAreCompressedAndServedToFew(t *testing.T) {
 	c := qt.New(t)
-	copied := mirror.NewCopy(func([]kv.Item) {})
+	copied := mirror.NewCopy(func([]kv.Item) {}, nil)
 	feed := mirror.NewFeed(copied)
 	server := httptest.NewServer(FeedHandler(feed))
 	defer server.Close()
@@ -61,15 +61,15 @@
 	address := server.Listener.Addr().String()
 	var changes mirror.Changes
 	err = periodic.Poll(time.Second, func() (err error) {
-		changes, err = f.Fetch(t.Context(), address, 3)
+		changes, err = f.Fetch(t.Context(), address, kv.Position{Revision: 3})
 		return err
 	})
 	c.Assert(err, qt.IsNil)
-	c.Check(changes, qt.DeepEquals, copied.Since(3, time.Now()))
+	c.Check(changes, qt.DeepEquals, copied.Since(kv.Position{Revision: 3}, time.Now()))
 	time.Sleep(100 * time.Millisecond)
-	err = feed.Serve(3, func(mirror.Changes) error {
-		return feed.Serve(3, func(mirror.Changes) error {
-			_, err := f.Fetch(t.Context(), address, 3)
+	err = feed.Serve(kv.Position{Revision: 3}, func(mirror.Changes) error {
+		return feed.Serve(kv.Position{Revision: 3}, func(mirror.Changes) error {
+			_, err := f.Fetch(t.Context(), address, kv.Position{Revision: 3})
 			c.Check(err, qt.ErrorIs, mirror.ErrBusy)
 			return nil
 		})
@@ -81,24 +81,24 @@
 // for the full copy at once, still serves later changes, and serves full copies again afterwards.
 func TestFullCopyIsServedToFew(t *testing.T) {
 	c := qt.New(t)
-	feed := mirror.NewFeed(mirror.NewCopy(func([]kv.Item) {}))
+	feed := mirror.NewFeed(mirror.NewCopy(func([]kv.Item) {}, nil))
 	server := httptest.NewServer(FeedHandler(feed))
 	defer server.Close()
 	f := NewFetcher()
 	address := server.Listener.Addr().String()
 
-	err := feed.Serve(0, func(mirror.Changes) error {
-		return feed.Serve(0, func(mirror.Changes) error {
-			_, err := f.Fetch(t.Context(), address, 0)
+	err := feed.Serve(kv.Position{Revision: 0}, func(mirror.Changes) error {
+		return feed.Serve(kv.Position{Revision: 0}, func(mirror.Changes) error {
+			_, err := f.Fetch(t.Context(), address, kv.Position{Revision: 0})
 			c.Check(err, qt.ErrorIs, mirror.ErrBusy)
-			_, err = f.Fetch(t.Context(), address, 1)
+			_, err = f.Fetch(t.Context(), address, kv.Position{Revision: 1})
 			c.Check(err, qt.IsNil)
 			return nil
 		})
 	})
 	c.Assert(err, qt.IsNil)
 	err = periodic.Poll(time.Second, func() error {
-		_, err := f.Fetch(t.Context(), address, 0)
+		_, err := f.Fetch(t.Context(), address, kv.Position{Revision: 0})
 		return err
 	})
 	c.Check(err, qt.IsNil)
