membership: groups that are looked up together share one view of the fleet

A VM looks up the groups of a service for all zones and hosts at each request that it is not used to, and five times a second for each service that it serves; each look-up of one group made a pass over all registered VMs and copied them.

Now a View is made once for all of them. No behaviour changes.

--- a/internal/gateway/groups.go
+++ b/internal/gateway/groups.go
@@ -90,9 +90,10 @@
 		return out
 	}
 	members := map[string]membership.Member{}
+	view := g.fleet.View(now)
 	for _, host := range table.HostsOf(service) {
 		for zone := range g.settings.Get().Regions {
-			for _, m := range g.fleet.Serving(host, zone, now) {
+			for _, m := range view.Serving(host, zone) {
 				members[m.Name] = m
 			}
 		}
--- a/internal/membership/serving.go
+++ b/internal/membership/serving.go
@@ -16,48 +16,80 @@
 	demandLifetime = 30 * time.Second
 )
 
-// Serving returns the VMs that serve a host for callers of an availability zone, best first. If the zone has none, VMs
-// of its region serve, and if the region has none, VMs of other regions.
+// Serving returns the VMs that serve a host for callers of an availability zone, best first: see View.Serving.
 func (f *Fleet) Serving(host, zone string, now time.Time) []Member {
+	return f.View(now).Serving(host, zone)
+}
+
+// View is what a VM knows of the fleet at one time. Several groups that are looked up at once share it, since it takes a pass over
+// all VMs.
+type View struct {
+	regions map[string]string
+	// alive holds the VMs that callers may be sent to, and byZone the same by their availability zones.
+	alive  []Member
+	byZone map[string][]Member
+	// demand holds the requests per second to the hosts whose demand is known.
+	demand map[string]float64
+}
+
+// View returns the current view. The demand of a host is what the VMs of the local zone report. Those of other zones report
+// nothing here, and their demand is taken to be the same. It is unknown if there has been no report for demandLifetime.
+func (f *Fleet) View(now time.Time) *View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	alive := f.servingCandidates(now)
-	demand, isKnown := f.demand(host, alive, now)
-	inZone := func(m Member) bool { return m.Zone == zone }
-	inRegion := func(m Member) bool { return m.Region == f.regions[zone] }
-	anywhere := func(Member) bool { return true }
-	for _, isInArea := range []func(Member) bool{inZone, inRegion, anywhere} {
-		candidates := fittest(alive, isInArea)
-		if !isKnown {
-			demand = unknownDemandShare * totalCapacity(candidates)
+	v := &View{regions: f.regions, alive: f.servingCandidates(now), byZone: map[string][]Member{}, demand: map[string]float64{}}
+	for host, at := range f.demandReported {
+		if now.Sub(at) <= demandLifetime {
+			v.demand[host] = 0
 		}
-		if group := chooseServing(host, candidates, demand); len(group) > 0 {
-			return group
+	}
+	for _, m := range v.alive {
+		v.byZone[m.Zone] = append(v.byZone[m.Zone], m)
+		if m.Zone == f.zone {
+			for host, perSecond := range m.Rates {
+				v.demand[host] += perSecond
+			}
 		}
 	}
-	return nil
+	return v
 }
 
-// demand returns the requests per second to a host that the VMs of the local zone report. Those of other zones report
-// nothing here, and their demand is taken to be the same. isKnown is false if there has been no report for demandLifetime.
-// The caller holds f.mu.
-func (f *Fleet) demand(host string, alive []Member, now time.Time) (perSecond float64, isKnown bool) {
-	for _, m := range alive {
-		if m.Zone == f.zone {
-			perSecond += m.Rates[host]
+// Serving returns the VMs that serve a host for callers of an availability zone, best first. If the zone has none, VMs
+// of its region serve, and if the region has none, VMs of other regions.
+func (v *View) Serving(host, zone string) []Member {
+	if group := v.choose(host, v.byZone[zone]); len(group) > 0 {
+		return group
+	}
+	var inRegion []Member
+	for _, m := range v.alive {
+		if m.Region == v.regions[zone] {
+			inRegion = append(inRegion, m)
 		}
 	}
-	reportedAt, wasReported := f.demandReported[host]
-	return perSecond, wasReported && now.Sub(reportedAt) <= demandLifetime
+	if group := v.choose(host, inRegion); len(group) > 0 {
+		return group
+	}
+	return v.choose(host, v.alive)
 }
 
-// fittest returns the VMs of an area that callers may be sent to. Overloaded VMs serve only if there are no others, and VMs with
+// choose returns the VMs of an area that serve a host.
+func (v *View) choose(host string, area []Member) []Member {
+	candidates := fittest(area)
+	demand, isKnown := v.demand[host]
+	if !isKnown {
+		demand = unknownDemandShare * totalCapacity(candidates)
+	}
+	return chooseServing(host, candidates, demand)
+}
+
+// fittest returns those VMs of an area to which callers are best sent. Overloaded VMs serve only if there are no others, and VMs with
 // a stale copy of the store only after them.
-func fittest(alive []Member, isInArea func(Member) bool) []Member {
-	var fit, overloaded, stale []Member
-	for _, m := range alive {
+func fittest(area []Member) []Member {
+	var overloaded, stale []Member
+	fit := make([]Member, 0, len(area))
+	for _, m := range area {
 		switch {
-		case !isInArea(m) || m.IsLeaving:
+		case m.IsLeaving:
 		case m.isStale():
 			stale = append(stale, m)
 		case m.IsOverloaded:
@@ -119,7 +151,7 @@
 // servingCandidates returns the VMs that callers may be sent to. While heartbeats can be relied on, it ignores the
 // registrations of the local zone. The caller holds f.mu.
 func (f *Fleet) servingCandidates(now time.Time) []Member {
-	var out []Member
+	out := make([]Member, 0, len(f.registered)+len(f.zoneHeartbeats))
 	hasPeerHeartbeat := false
 	for _, h := range f.zoneHeartbeats {
 		if f.isAlive(h, now) {
