ingress: the rate of a host that becomes busy after a pause is not underestimated

The same cause as for a host of unknown demand: the weighted mean counted the pause as measured time, so a load that begins after a pause would be reported as a fifth of it after half a second. TestRateOfAHostThatBecomesBusy failed before in its second round (after a pause).

--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -210,3 +210,15 @@
 	response, _ = exchange(t, address, get+"\r\n")
 	c.Check(response.StatusCode, qt.Equals, http.StatusBadGateway)
 }
+
+// TestRateOfAHostThatBecomesBusy guards against a load that is reported too low for seconds after it has begun, also after a pause.
+func TestRateOfAHostThatBecomesBusy(t *testing.T) {
+	r := ingress.NewRates()
+	for _, start := range []time.Time{time.Unix(1000, 0), time.Unix(1060, 0)} {
+		for n := range 50 {
+			r.Count("h", start.Add(time.Duration(n)*10*time.Millisecond))
+		}
+		got := r.Get(start.Add(500 * time.Millisecond))["h"]
+		qt.Check(t, got > 80 && got < 120, qt.IsTrue, qt.Commentf("%g", got))
+	}
+}
--- a/internal/ingress/rates.go
+++ b/internal/ingress/rates.go
@@ -27,7 +27,7 @@
 	// weighted is the rate at the time at, if the time before since counts as without requests.
 	weighted float64
 	at       time.Time
-	// since is the time of the first request.
+	// since is the time of the first request after a time without any.
 	since time.Time
 }
 
@@ -44,6 +44,9 @@
 		r.hosts[host] = known
 	}
 	known.decay(now)
+	if known.weighted < minRate/10 {
+		known.since = now
+	}
 	known.weighted += 1 / rateTimeConstant.Seconds()
 }
 
