mirror, membership: late responses of an earlier era change nothing

The era of a copy can change between the response of a watch and its adoption, since another VM's copy is adopted at the same time; a registration that is read with a stale response may be of an earlier era. TestCopyOfANewEra failed before with a late change.

--- a/internal/membership/registrar.go
+++ b/internal/membership/registrar.go
@@ -159,7 +159,8 @@
 		return err
 	}
 	for _, item := range page.Items {
-		if item.Key != r.key() || item.Lease == 0 || !bytes.Equal(item.Value, record) {
+		isOwn := item.Key == r.key() && item.Lease != 0 && bytes.Equal(item.Value, record)
+		if !isOwn || page.Era != r.store.Era() {
 			continue
 		}
 		err := r.store.KeepAlive(ctx, item.Lease)
--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -162,10 +162,13 @@
 	c.advance(changes.position())
 }
 
-// Adopt applies changes read from the store. They must belong to the era of the copy.
+// Adopt applies changes read from the store. Those of another era than that of the copy are ignored.
 func (c *Copy) Adopt(changes kv.Changes, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if changes.Era != c.at.Era {
+		return
+	}
 	c.outage.recordEnd(c.confirmed, now)
 	c.applyNewer(c.toEntries(changes.Items, now), now)
 	c.advance(kv.Position{Era: c.at.Era, Revision: changes.Revision})
--- a/internal/mirror/era_test.go
+++ b/internal/mirror/era_test.go
@@ -130,6 +130,7 @@
 			behind.AdoptFromPeer(from.Since(behind.Position(), now), now)
 			// A response of the era before arrives late.
 			from.AdoptFull([]kv.Item{written("a", "0", 7)}, kv.Position{Era: 1, Revision: 8}, now)
+			from.Adopt(kv.Changes{Items: []kv.Item{written("a", "0", 9)}, Revision: 9, Era: 1}, now)
 			qt.Check(t, reader["a"], qt.Equals, test.soon)
 			qt.Check(t, follower["a"], qt.Equals, test.soon)
 			qt.Check(t, to.Position(), qt.Equals, kv.Position{Era: 2, Revision: 4})
