membership: rounding leaves no VM out of a group

demand/n may be rounded up above the capacity of which n carry the demand, as with VMs of 0.32 cores; the group was then too small or empty, and callers were sent to other zones. TestGroupIsNeverEmpty failed before (14 of its cases).

--- a/internal/dispatch/question.go
+++ b/internal/dispatch/question.go
@@ -44,8 +44,8 @@
 }
 
 // ensureEvidence asks the VMs that serve the service which backend servers are healthy and how busy they are, unless this VM
-// serves the service itself or has recently heard of them, and waits for the first answer. Without it, a VM that seldom gets requests would choose among
-// unhealthy and busy backend servers as if nothing were known.
+// serves the service itself or has recently heard of them, and waits for the first answer. Without it, a VM that seldom gets
+// requests would choose among unhealthy and busy backend servers as if nothing were known.
 func (s *service) ensureEvidence(ctx context.Context, now time.Time) {
 	s.mu.Lock()
 	question := s.question
--- a/internal/membership/load_test.go
+++ b/internal/membership/load_test.go
@@ -135,3 +135,22 @@
 		})
 	}
 }
+
+// TestGroupIsNeverEmpty checks that rounding does not leave a group without VMs or with fewer than its demand needs.
+func TestGroupIsNeverEmpty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := newLoadedZone(0, 53)
+		for _, capacity := range []float64{0.16 * 650, 0.32 * 650, 1.0 / 3, 0.1, 7.7} {
+			for n := 1.0; n <= 53; n++ {
+				for _, vm := range z.vms {
+					vm.Capacity = capacity
+				}
+				z.sendHeartbeats()
+				m := z.vms[0].Member
+				m.Rates = map[string]float64{"host": n * capacity}
+				z.fleet.ReceiveHeartbeat(m, time.Now())
+				qt.Check(t, len(z.fleet.Serving("host", "a", time.Now())) >= int(n), qt.IsTrue, qt.Commentf("%g VMs of capacity %g", n, capacity))
+			}
+		}
+	})
+}
--- a/internal/membership/serving.go
+++ b/internal/membership/serving.go
@@ -124,16 +124,17 @@
 		capacities = append(capacities, m.Capacity)
 	}
 	slices.SortFunc(capacities, func(a, b float64) int { return cmp.Compare(b, a) })
-	size, share := len(candidates), 0.0
+	size, minCapacity := len(candidates), 0.0
 	for i, capacity := range capacities {
 		if n := float64(i + 1); n*capacity >= demand {
-			size, share = i+1, demand/n
+			// The quotient may be rounded up above the capacity.
+			size, minCapacity = i+1, min(demand/n, capacity)
 			break
 		}
 	}
 	var out []Member
 	for _, i := range placement.RankWeighted(host, weights(candidates)) {
-		if len(out) < size && candidates[i].Capacity >= share {
+		if len(out) < size && candidates[i].Capacity >= minCapacity {
 			out = append(out, candidates[i])
 		}
 	}
