soak: the store comes back from older copies of itself

Up to several times in a run the store is away for up to 2 s and returns as it was up to 6 s before; the operator and the backend servers write what it has lost again within 1.5 s. All promises are checked as before, so also that a backend server whose draining was accepted, and then lost, gets no more requests.

--- a/internal/kv/kvtest/kvtest.go
+++ b/internal/kv/kvtest/kvtest.go
@@ -103,15 +103,38 @@
 	}
 }
 
+// Lost holds what a restored store lacks: the states, as they were before, of the keys that it has in another state.
+type Lost struct{ before, restored map[string]kv.Item }
+
 // Restore replaces the content of the store by that of a copy, which begins a new era.
-func (s *Store) Restore(b *Backup) {
+func (s *Store) Restore(b *Backup) *Lost {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	lost := &Lost{before: s.items, restored: maps.Clone(b.items)}
 	s.era++
 	s.revision, s.items, s.history = b.revision, maps.Clone(b.items), slices.Clone(b.history)
 	s.leases, s.nextLease = maps.Clone(b.leases), b.nextLease
 	close(s.changed)
 	s.changed = make(chan struct{})
+	return lost
+}
+
+// Rewrite writes what a restored store has lost, as the owners of the keys do, but for keys that have changed since.
+func (s *Store) Rewrite(lost *Lost, isIncluded func(key string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	keys := maps.Clone(lost.before)
+	maps.Copy(keys, lost.restored)
+	for key := range keys {
+		before, existed := lost.before[key]
+		restored, current := lost.restored[key], s.items[key]
+		isChangedSince := current.Revision != restored.Revision
+		isSame := existed && restored.Revision == before.Revision
+		if !isIncluded(key) || isSame || isChangedSince {
+			continue
+		}
+		s.put(kv.Item{Key: key, Value: before.Value, Deleted: !existed})
+	}
 }
 
 // Compact discards the history. Pending watches are not notified.
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -39,9 +39,9 @@
 	VMsPerZone, ServersPerZone int
 	// Callers is the number of callers; 0 means 36.
 	Callers int
-	// IsWithoutAdvice keeps backend servers from saying anything about themselves, so that seeds from before they did have the
-	// same faults.
-	IsWithoutAdvice bool
+	// FaultsOnly leaves out restored stores and what backend servers say about themselves, so that seeds from before these have
+	// the course that failed.
+	FaultsOnly bool
 	// GatewayPath is the path of the primrose-gateway program, Dir the directory for settings files and logs.
 	GatewayPath, Dir string
 	// Logf logs each fault and the counts of the result.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -67,9 +67,12 @@
 func (d *deployment) injectFaults() {
 	var wait sync.WaitGroup
 	end := time.Now().Add(d.options.Duration)
-	if !d.options.IsWithoutAdvice {
+	if !d.options.FaultsOnly {
 		wait.Go(func() { d.injectAdvice(end) })
 	}
+	if !d.options.FaultsOnly {
+		wait.Go(func() { d.restoreStores(end) })
+	}
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(d.random.ExpFloat64() * float64(meanFaultInterval)))
 		kind := faultKinds[d.random.IntN(len(faultKinds))]
@@ -296,7 +299,7 @@
 	}
 	if draw.IntN(3) > 0 {
 		b.IsDraining = true
-		b.advice.isLeaving.Store(!d.options.IsWithoutAdvice)
+		b.advice.isLeaving.Store(!d.options.FaultsOnly)
 		if err := d.putServer(b.Server); err != nil {
 			return err
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -71,7 +71,7 @@
 	}
 }
 
-func runSeed(t *testing.T, slots chan struct{}, program string, seed uint64, duration time.Duration, isWithoutAdvice bool) {
+func runSeed(t *testing.T, slots chan struct{}, program string, seed uint64, duration time.Duration, faultsOnly bool) {
 	t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 		t.Parallel()
 		slots <- struct{}{}
@@ -83,7 +83,7 @@
 			t.Logf("%6.3f %s", time.Since(began).Seconds(), fmt.Sprintf(format, args...))
 		}
 		violations, err := soak.Run(soak.Options{
-			Seed: seed, Duration: duration, IsWithoutAdvice: isWithoutAdvice, GatewayPath: program, Dir: dir, Logf: logf,
+			Seed: seed, Duration: duration, FaultsOnly: faultsOnly, GatewayPath: program, Dir: dir, Logf: logf,
 			VMsPerZone: intFromEnv(t, "SOAK_VMS", 0), ServersPerZone: intFromEnv(t, "SOAK_SERVERS", 0), Callers: intFromEnv(t, "SOAK_CALLERS", 0),
 		})
 		qt.Assert(t, err, qt.IsNil)
