--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -24,6 +24,7 @@
 type play func(r *recorder, hasTrouble bool) (isBroken bool, err error)
 
 var plays = map[string]play{
+	"lost-removal": playLostRemoval,
 	"large-bodies": playLargeBodies,
 }
 
