--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -26,6 +26,7 @@
 var plays = map[string]play{
 	"lost-removal": playLostRemoval,
 	"large-bodies": playLargeBodies,
+	"odd-entries":  playOddEntries,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
