--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -24,9 +24,12 @@
 type play func(r *recorder, hasTrouble bool) (isBroken bool, err error)
 
 var plays = map[string]play{
-	"lost-removal": playLostRemoval,
-	"large-bodies": playLargeBodies,
-	"odd-entries":  playOddEntries,
+	"lost-removal":      playLostRemoval,
+	"large-bodies":      playLargeBodies,
+	"odd-entries":       playOddEntries,
+	"crasher-roll":      playCrasherRoll,
+	"crasher-split":     playCrasherSplit,
+	"crasher-in-answer": playCrasherInAnswer,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
