--- a/review/lab/fleet.go
+++ b/review/lab/fleet.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"net"
 	"os"
+	"os/signal"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/primroseladder/primroseladder/internal/route"
@@ -33,6 +35,7 @@
 	if f.dir, err = os.MkdirTemp("", "review"); err != nil {
 		return f, err
 	}
+	go f.endOnSignal()
 	if f.store, err = newStoreService(); err != nil {
 		return f, err
 	}
@@ -52,6 +55,16 @@
 	return f, f.startMachines(machines)
 }
 
+// endOnSignal removes the temporary folder and ends this program when it is told to stop. The processes that it has started end
+// with it.
+func (f *fleet) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	<-signals
+	_ = os.RemoveAll(f.dir)
+	os.Exit(exitNotPlayed)
+}
+
 // startMachines starts the gateway processes and waits until all are ready.
 func (f *fleet) startMachines(perZone []int) error {
 	block, listener, err := reserveBlock()
