mirror: a removal reaches a VM that missed it though the others started after it

Callers saw requests run by a backend server 6 to 12 s after the store had removed its entry, sent by VMs that had been frozen at the time while the other VMs of their region were killed and started again.

Class: a copy answers for a span of the store's history that it has not seen. A VM that starts reads what exists and knows no removals. Asked for the changes since an older position it returned none for the removed key, and the other copy took over its position for good. A full read after the store has discarded its history leaves the same gap, for keys that came and went meanwhile.

It serves changes since a revision of a span only, and its full copy otherwise; a full copy removes what it does not contain, and brings its spans along, so that the second VM of a zone serves changes again.

Ruled out: the fetch itself (the case shows the copy complete up to the newest revision), tentative deletions (the store is not disturbed), the roster (it follows the copy). Weighed: to refuse such a VM and let it read the store, which fails while the store is down and costs a read for each VM; a digest of the copy in each heartbeat, which finds any difference but not its cause.

--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -53,10 +53,11 @@
 
 	PeerUnreachable = Event{1401, zerolog.DebugLevel, "a keeper cannot be reached"}
 
-	VMSilent       = Event{1402, zerolog.WarnLevel, "a VM of this availability zone is silent"}
-	VMSilenceEnded = Event{1403, zerolog.InfoLevel, "a silent VM of this availability zone sends heartbeats again"}
-	FetchFailed    = Event{1405, zerolog.WarnLevel, "changes could not be fetched from another VM"}
-	DatagramFailed = Event{1404, zerolog.WarnLevel, "datagram to or from another VM failed"}
+	VMSilent        = Event{1402, zerolog.WarnLevel, "a VM of this availability zone is silent"}
+	VMSilenceEnded  = Event{1403, zerolog.InfoLevel, "a silent VM of this availability zone sends heartbeats again"}
+	FetchFailed     = Event{1405, zerolog.WarnLevel, "changes could not be fetched from another VM"}
+	FullCopyFetched = Event{1406, zerolog.InfoLevel, "another VM gave its full copy of the store"}
+	DatagramFailed  = Event{1404, zerolog.WarnLevel, "datagram to or from another VM failed"}
 
 	BackendEjected   = Event{1501, zerolog.WarnLevel, "backend server taken out of service"}
 	BackendReturned  = Event{1502, zerolog.InfoLevel, "backend server back in service"}
--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -4,7 +4,8 @@
 // availability zone, which is one of the zone's VMs. The other VMs fetch the changes from a VM of their zone, whose
 // heartbeats announce its revision. Each zone has a reader in reserve, which reads the store when the copies become
 // old. A VM that starts reads only the registrations of its zone and fetches the rest from a VM that has it. A VM that
-// receives nothing from a reader reads the store itself. While a VM can reach neither a reader nor the store, it keeps
+// receives nothing from a reader reads the store itself. A copy does not know which keys were removed before it was first read;
+// where such keys may be missing, another VM gets the full copy instead of changes (see Span). While a VM can reach neither a reader nor the store, it keeps
 // using its last copy, which counts as stale. If the store has discarded the history that a watch needs, the store is
 // read in full again, and keys that no longer exist are reported as deleted.
 //
@@ -18,7 +19,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -46,6 +46,10 @@
 	Entries  []Entry
 	Revision uint64
 	Era      uint64 `json:",omitempty"`
+	// IsFull is set if Entries holds the full copy: a key without an entry does not exist at Revision. Spans is then the history of
+	// the copy.
+	IsFull bool   `json:",omitempty"`
+	Spans  []Span `json:",omitempty"`
 	// TentativeFor is how much longer the deletions of an outage are tentative.
 	TentativeFor time.Duration `json:",omitempty"`
 }
@@ -69,6 +73,10 @@
 	mu      sync.Mutex
 	entries map[string]Entry
 	at      kv.Position
+	// newest is the highest revision of an entry. It is above that of at after a full read that met later changes.
+	newest uint64
+	// history holds the revisions of the era since which the changes are known.
+	history history
 	// superseded holds the keys whose state in the store is older than that of the copy, with the state in the store.
 	superseded map[string]supersededState
 	// confirmed is the time at which the copy was last known to be complete.
@@ -99,6 +107,17 @@
 	return c.at
 }
 
+// FetchPosition returns the position after which the copy needs the changes of another VM's copy. It has revision 0, for the full
+// copy, while this copy has entries newer than its position: the other copy may not know of their removal.
+func (c *Copy) FetchPosition() kv.Position {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.newest > c.at.Revision {
+		return kv.Position{Era: c.at.Era}
+	}
+	return c.at
+}
+
 // Age returns the time since the copy was last known to be complete.
 func (c *Copy) Age(now time.Time) time.Duration {
 	c.mu.Lock()
@@ -122,14 +141,18 @@
 	c.outage.recordFailure(c.confirmed, now)
 }
 
-// Since returns the entries that changed after a position, in the order of their revisions. It includes deleted keys. After a
-// position of another era it returns all entries.
+// Since returns the entries that changed after a position, in the order of their revisions. It includes deleted keys. It returns
+// all entries after a position of another era, and after one since which it may not know all deletions.
 func (c *Copy) Since(after kv.Position, now time.Time) Changes {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := Changes{Revision: c.at.Revision, Era: c.at.Era, TentativeFor: max(0, c.outage.tentativeUntil().Sub(now))}
+	out.IsFull = after.Era != c.at.Era || after.Revision == 0 || c.at.After(after) && !c.history.covers(after.Revision)
+	if out.IsFull {
+		out.Spans = slices.Clone(c.history)
+	}
 	for key, e := range c.entries {
-		if after.Era == c.at.Era && e.Revision <= after.Revision {
+		if !out.IsFull && e.Revision <= after.Revision {
 			continue
 		}
 		if until, isTentative := c.tentativeUntil[key]; isTentative {
@@ -147,7 +170,7 @@
 func byRevision(a, b Entry) int { return cmp.Compare(a.Revision, b.Revision) }
 
 // AdoptFromPeer applies changes fetched from another VM's copy. Those of an earlier era are ignored, and those of a later one
-// must be complete.
+// must be the full copy. Items that a full copy does not contain are treated as deleted.
 func (c *Copy) AdoptFromPeer(changes Changes, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -158,10 +181,45 @@
 		c.adoptEra(changes, now)
 		return
 	}
-	c.applyNewer(changes.Entries, now)
+	entries := changes.Entries
+	if changes.IsFull {
+		missing := c.missingIn(entries, changes.Revision)
+		tentativeFor := max(changes.TentativeFor, c.outage.tentativeUntil().Sub(now))
+		for _, i := range missing {
+			entries = append(entries, Entry{Item: i, TentativeFor: tentativeFor})
+		}
+		slices.SortStableFunc(entries, byRevision)
+		c.history.add(changes.Spans...)
+	} else if c.at.Revision > 0 && changes.Revision > c.at.Revision {
+		c.history.add(Span{From: c.at.Revision, To: changes.Revision})
+	}
+	c.applyNewer(entries, now)
 	c.advance(changes.position())
 }
 
+// missingIn returns the items that the copy has and a full copy or a full read at the given revision has not, as deleted at this
+// revision. The caller holds c.mu.
+func (c *Copy) missingIn(full []Entry, revision uint64) []kv.Item {
+	missing := map[string]kv.Item{}
+	for key, e := range c.entries {
+		missing[key] = e.Item
+	}
+	for _, e := range full {
+		// A deletion that is older than the item was followed by a write and another deletion.
+		if !e.Deleted || e.Revision >= missing[e.Key].Revision {
+			delete(missing, e.Key)
+		}
+	}
+	var out []kv.Item
+	for key, old := range missing {
+		// An item that is newer was written after its page was read.
+		if !old.Deleted && old.Revision <= revision {
+			out = append(out, kv.Item{Key: key, Revision: revision, Deleted: true})
+		}
+	}
+	return out
+}
+
 // Adopt applies changes read from the store. Those of another era than that of the copy are ignored.
 func (c *Copy) Adopt(changes kv.Changes, now time.Time) {
 	c.mu.Lock()
@@ -171,6 +229,9 @@
 	}
 	c.outage.recordEnd(c.confirmed, now)
 	c.applyNewer(c.toEntries(changes.Items, now), now)
+	if changes.Revision >= c.at.Revision {
+		c.history.add(Span{From: c.at.Revision, To: changes.Revision})
+	}
 	c.advance(kv.Position{Era: c.at.Era, Revision: changes.Revision})
 	c.confirmed = now
 }
@@ -200,28 +261,17 @@
 		return
 	}
 	c.outage.recordEnd(c.confirmed, now)
+	entries := make([]Entry, 0, len(read))
+	for _, i := range read {
+		entries = append(entries, Entry{Item: i})
+	}
 	if at.Era > c.at.Era && c.at.Revision > 0 {
 		c.outage.endedAt = now
-		entries := make([]Entry, 0, len(read))
-		for _, i := range read {
-			entries = append(entries, Entry{Item: i})
-		}
 		c.adoptEra(Changes{Entries: entries, Revision: at.Revision, Era: at.Era, TentativeFor: deletionGrace}, now)
 		c.confirmed = now
 		return
 	}
-	revision := at.Revision
-	changes := slices.Clone(read)
-	missing := maps.Clone(c.entries)
-	for _, i := range read {
-		delete(missing, i.Key)
-	}
-	for key, old := range missing {
-		// An item that is newer than the read was written after its page was read.
-		if !old.Deleted && old.Revision <= revision {
-			changes = append(changes, kv.Item{Key: key, Revision: revision, Deleted: true})
-		}
-	}
+	changes := append(slices.Clone(read), c.missingIn(entries, at.Revision)...)
 	slices.SortStableFunc(changes, func(a, b kv.Item) int { return cmp.Compare(a.Revision, b.Revision) })
 	c.applyNewer(c.toEntries(changes, now), now)
 	c.advance(at)
@@ -246,6 +296,7 @@
 func (c *Copy) applyNewer(changes []Entry, now time.Time) {
 	var fresh []kv.Item
 	for _, e := range changes {
+		c.newest = max(c.newest, e.Revision)
 		old, known := c.entries[e.Key]
 		isNewer := e.Revision > old.Revision || (e.Deleted && !old.Deleted && e.Revision == old.Revision)
 		if known && !isNewer {
--- a/internal/mirror/era.go
+++ b/internal/mirror/era.go
@@ -24,10 +24,12 @@
 func (c *Copy) adoptEra(later Changes, now time.Time) {
 	earlier := c.entries
 	c.entries, c.at = make(map[string]Entry, len(later.Entries)), later.position()
+	c.history, c.newest = slices.Clone(later.Spans), c.at.Revision
 	clear(c.superseded)
 	inStore := make(map[string]kv.Item, len(later.Entries))
 	var changed []kv.Item
 	for _, e := range later.Entries {
+		c.newest = max(c.newest, e.Revision)
 		if !e.Deleted {
 			inStore[e.Key] = e.Item
 		}
--- a/internal/mirror/feed.go
+++ b/internal/mirror/feed.go
@@ -33,7 +33,7 @@
 	return &Feed{copy: c, largeTransfers: make(chan struct{}, maxLargeTransfers)}
 }
 
-// Serve passes the changes after a position to send; after revision 0 or in another era that is the full copy. It returns
+// Serve passes the changes after a position to send, or the full copy as Since does. It returns
 // ErrBusy if the transfer is large while maxLargeTransfers are in progress.
 func (f *Feed) Serve(after kv.Position, send func(Changes) error) error {
 	changes := f.copy.Since(after, time.Now())
@@ -53,7 +53,7 @@
 // IsLarge reports whether the changes after a position are too many to be sent to all VMs of a zone at once. A full copy always
 // is.
 func (c Changes) IsLarge(after kv.Position) bool {
-	if after.Revision == 0 || after.Era != c.Era {
+	if c.IsFull || after.Revision == 0 || after.Era != c.Era {
 		return true
 	}
 	size := 0
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -404,7 +404,8 @@
 	}
 	for _, s := range sources {
 		if at := m.Copy.Position(); s.At.After(at) {
-			changes, err := m.Fetcher.Fetch(ctx, s.Address, at)
+			after := m.Copy.FetchPosition()
+			changes, err := m.Fetcher.Fetch(ctx, s.Address, after)
 			if errors.Is(err, ErrBusy) {
 				continue
 			}
@@ -412,10 +413,13 @@
 				logevent.FetchFailed.Log(m.Log).Str("peer", s.Address).Err(err).Send()
 				continue
 			}
-			isReplaced := at.Revision == 0 || changes.Era != at.Era
+			if changes.IsFull && at.Revision > 0 && changes.Era == at.Era {
+				logevent.FullCopyFetched.Log(m.Log).Str("peer", s.Address).Uint64("copy_revision", at.Revision).
+					Uint64("revision", changes.Revision).Send()
+			}
 			m.Copy.AdoptFromPeer(changes, time.Now())
 			m.Copy.Confirm(s.Confirmed)
-			if isReplaced || changes.IsLarge(at) {
+			if changes.IsLarge(after) {
 				m.OnStateChange()
 			}
 			return
