mirror: registrations read before the first full copy are removed if it lacks them

Cause: Preload applies the registrations of the zone, up to seconds old, but the copy forgot which. A VM whose registration ended before the full copy was read stayed registered here for good: news and crash reports go to its address, and other zones count it among those that serve.

The copy remembers the preloaded items until the first full copy and treats those that it lacks as deleted. Ruled out: keeping them as entries at position 0, which makes the copy look as if it had been read. TestPreloadedItemsAreRemoved failed before, after a full read and after another VM's copy.

--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -19,6 +19,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -77,6 +78,8 @@
 	newest uint64
 	// history holds the revisions of the era since which the changes are known.
 	history history
+	// preloaded holds the items that were applied before the first full read.
+	preloaded map[string]kv.Item
 	// superseded holds the keys whose state in the store is older than that of the copy, with the state in the store.
 	superseded map[string]supersededState
 	// confirmed is the time at which the copy was last known to be complete.
@@ -92,7 +95,7 @@
 func NewCopy(apply func([]kv.Item), owners Owners) *Copy {
 	return &Copy{
 		apply: apply, owners: owners, entries: map[string]Entry{}, tentativeUntil: map[string]time.Time{},
-		superseded: map[string]supersededState{},
+		superseded: map[string]supersededState{}, preloaded: map[string]kv.Item{},
 	}
 }
 
@@ -200,10 +203,11 @@
 // missingIn returns the items that the copy has and a full copy or a full read at the given revision has not, as deleted at this
 // revision. The caller holds c.mu.
 func (c *Copy) missingIn(full []Entry, revision uint64) []kv.Item {
-	missing := map[string]kv.Item{}
+	missing := maps.Clone(c.preloaded)
 	for key, e := range c.entries {
 		missing[key] = e.Item
 	}
+	clear(c.preloaded)
 	for _, e := range full {
 		// A deletion that is older than the item was followed by a write and another deletion.
 		if !e.Deleted || e.Revision >= missing[e.Key].Revision {
@@ -243,13 +247,18 @@
 	}
 }
 
-// Preload applies items read before the first full read. The copy itself stores them only with the full read.
+// Preload applies items read before the first full read. The copy itself stores them only with the full read, which also shows
+// those that have been deleted since.
 func (c *Copy) Preload(items []kv.Item) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.entries) == 0 && len(items) > 0 {
-		c.apply(items)
+	if len(c.entries) > 0 || len(items) == 0 {
+		return
+	}
+	for _, i := range items {
+		c.preloaded[i.Key] = i
 	}
+	c.apply(items)
 }
 
 // AdoptFull applies the result of a full read of the store whose first page was read at the given position. Known items
--- a/internal/mirror/history_test.go
+++ b/internal/mirror/history_test.go
@@ -77,6 +77,21 @@
 	qt.Check(t, changes.Entries, qt.HasLen, 2)
 }
 
+// TestPreloadedItemsAreRemoved guards against registrations that a VM read at its start, seconds old, and kept though the store no
+// longer had them.
+func TestPreloadedItemsAreRemoved(t *testing.T) {
+	start := time.Unix(1000, 0)
+	fromStore, fromPeer := recorder{}, recorder{}
+	reads, fetches := mirror.NewCopy(fromStore.apply, numbered{}), mirror.NewCopy(fromPeer.apply, numbered{})
+	for _, c := range []*mirror.Copy{reads, fetches} {
+		c.Preload([]kv.Item{written("a", "1", 2), written("b", "1", 3)})
+	}
+	reads.AdoptFull([]kv.Item{written("b", "1", 3)}, kv.Position{Revision: 5}, start)
+	fetches.AdoptFromPeer(reads.Since(kv.Position{}, start), start)
+	qt.Check(t, fromStore, qt.DeepEquals, recorder{"b": "1"})
+	qt.Check(t, fromPeer, qt.DeepEquals, recorder{"b": "1"})
+}
+
 // modelStore is a store whose history can be discarded.
 type modelStore struct {
 	items     map[string]kv.Item
