blocklist: VMs that start later know which requests crash backend servers

A request that crashes backend servers ran 12 times over one round of restarts, 8 of them later than the contact time after its third crash: once at each VM that had been started again. The VMs that were not restarted refused it throughout.

Class: news is told once, at the moment of the event, to those that hear it then. Crash reports were datagrams to the registered VMs; one that starts, wakes, was cut off or loses the datagram never got them, and nothing outlived a loss of all VMs.

A VM that blocks a request now writes the block to the store, under a lease that ends with it. Each VM has it in its copy of the store: before its first request if it starts, and after all were killed. The VMs that saw a crash write; if they are gone, the store readers of the zones do. The remaining time only decreases on the way, so VMs do not renew blocks for each other. Events 1318 and 1319, metric blocked_requests.

Ruled out: a fingerprint that differs between VMs (the others block the same request), an expired window. Weighed: questions between VMs alone, which a loss of all VMs erases; blocks in heartbeats, which stay in the zone.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -126,6 +126,8 @@
 	Connect func(to roster.Server, maxConnections int) ConnectionPool
 	// ShareEvidence is called with each evidence of this VM. It must not block.
 	ShareEvidence func(Evidence)
+	// Crashes holds the crashes of requests, if it is not nil.
+	Crashes *poison.Registry
 	// ShareCrash is called when a request has broken the connection of its backend server. It must not block.
 	ShareCrash func(f poison.Fingerprint, server string)
 	// Serves reports whether this VM is one of those that serve a service and tell each other of their requests.
@@ -151,9 +153,6 @@
 	services map[string]*service
 }
 
-// crashWindow is how long a request that breaks the connections of backend servers stays blocked.
-const crashWindow = 10 * time.Minute
-
 // answerMemoryBytes limits the memory for the answers that are being received. The smallest VMs have 184 MB.
 const answerMemoryBytes = 32 << 20
 
@@ -168,7 +167,10 @@
 	if o.Connect == nil {
 		o.Connect = o.connectTCP(backend.NewByteBudget(answerMemoryBytes))
 	}
-	return &Dispatcher{options: o, crashes: poison.NewRegistry(crashWindow), services: map[string]*service{}}
+	if o.Crashes == nil {
+		o.Crashes = poison.NewRegistry(poison.DefaultWindow)
+	}
+	return &Dispatcher{options: o, crashes: o.Crashes, services: map[string]*service{}}
 }
 
 // Update applies the current backend servers and connection limits.
@@ -220,10 +222,10 @@
 
 // ReceiveCrash records a request that broke the connection of its backend server on a peer.
 func (d *Dispatcher) ReceiveCrash(f poison.Fingerprint, server string) {
-	d.crashes.RecordCrash(f, server)
+	d.crashes.ReceiveCrash(f, server)
 }
 
-// ExpireCrashes removes crashes older than crashWindow.
+// ExpireCrashes removes crashes whose window has ended.
 func (d *Dispatcher) ExpireCrashes() { d.crashes.Expire() }
 
 // Do executes a request. ctx must be cancelled when the caller disconnects.
--- a/internal/entrypeer/crash.go
+++ b/internal/entrypeer/crash.go
@@ -79,6 +79,6 @@
 		s.registry.RecordAnswer(f)
 		return &pb.CrashAck{}, nil
 	}
-	s.registry.RecordCrash(f, note.GetBackend())
+	s.registry.ReceiveCrash(f, note.GetBackend())
 	return &pb.CrashAck{}, nil
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -5,14 +5,17 @@
 
 	"go.uber.org/fx"
 
+	"github.com/primroseladder/primroseladder/internal/blocklist"
 	"github.com/primroseladder/primroseladder/internal/dispatch"
 	"github.com/primroseladder/primroseladder/internal/listen"
 	"github.com/primroseladder/primroseladder/internal/metrics"
 )
 
-// countingReceiver is a vmpeer.Receiver that counts received evidence and passes it to the dispatcher.
+// countingReceiver is a vmpeer.Receiver that counts received evidence and passes it to the dispatcher, and blocks to the list of
+// blocked requests.
 type countingReceiver struct {
 	*dispatch.Dispatcher
+	*blocklist.List
 	metrics *metrics.Metrics
 }
 
@@ -46,6 +49,9 @@
 		}
 		return 0
 	})
+	m.RegisterGauge("blocked_requests", "Requests that are blocked because they crash backend servers.", func() float64 {
+		return float64(len(in.Blocks.Registry.Blocks()))
+	})
 	m.RegisterGauge("neighbours", "Other live VMs of the availability zone, and store readers of other zones.", func() float64 {
 		return float64(len(in.Fleet.Sources()))
 	})
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
+	"github.com/primroseladder/primroseladder/internal/blocklist"
 	"github.com/primroseladder/primroseladder/internal/dispatch"
 	"github.com/primroseladder/primroseladder/internal/ingress"
 	"github.com/primroseladder/primroseladder/internal/kv"
@@ -46,9 +47,12 @@
 	return fx.Options(
 		fx.Supply(p, p.Settings, p.Settings.Get(), log),
 		fx.Provide(
-			newSelf, newFleet, NewGroups, newEndpoint, newDispatcher, newMirror, metrics.New, ingress.NewRates, lag.NewMonitor,
-			func(d *dispatch.Dispatcher, f *membership.Fleet, self membership.Member, r *membership.Registrar) *State {
-				return NewState(p.Codec, d, f, self, r.NotifyRemoved, log)
+			newSelf, newFleet, newBlocks, func() *poison.Registry { return poison.NewRegistry(poison.DefaultWindow) },
+			NewGroups, newEndpoint, newDispatcher, newMirror, metrics.New, ingress.NewRates, lag.NewMonitor,
+			func(
+				d *dispatch.Dispatcher, f *membership.Fleet, b *blocklist.List, self membership.Member, r *membership.Registrar,
+			) *State {
+				return NewState(p.Codec, d, f, b, self, r.NotifyRemoved, log)
 			},
 			func(s *State, r *membership.Registrar) *mirror.Copy {
 				c := mirror.NewCopy(s.Apply, p.Codec)
@@ -87,8 +91,16 @@
 	return vmpeer.Listen(s.PeerListen, f, g, log)
 }
 
+func newBlocks(
+	p *Platform, endpoint *vmpeer.Endpoint, f *membership.Fleet, crashes *poison.Registry, log zerolog.Logger,
+) *blocklist.List {
+	return blocklist.New(blocklist.Options{
+		Store: p.Store, Registry: crashes, IsReader: func() bool { return f.ReaderRank() == 0 }, Ask: endpoint.AskBlocks, Log: log,
+	})
+}
+
 func newDispatcher(
-	p *Platform, endpoint *vmpeer.Endpoint, g *Groups, m *metrics.Metrics, log zerolog.Logger,
+	p *Platform, endpoint *vmpeer.Endpoint, g *Groups, m *metrics.Metrics, crashes *poison.Registry, log zerolog.Logger,
 ) *dispatch.Dispatcher {
 	s, h := p.Settings.Get(), p.Headers
 	return dispatch.New(dispatch.Options{
@@ -102,6 +114,7 @@
 			m.RecordSentEvidence(e)
 			endpoint.SendEvidence(e)
 		},
+		Crashes:    crashes,
 		ShareCrash: func(f poison.Fingerprint, server string) { endpoint.SendCrash(f, server) },
 		Serves:     g.Serves, AskHealth: endpoint.AskHealth,
 		RetryRatio: s.RetryRatio, RetryWindow: s.RetryWindow, RetryAllowance: g.RetryAllowance, Log: log,
@@ -147,6 +160,7 @@
 	Copy       *mirror.Copy
 	Mirror     *mirror.Mirror
 	Registrar  *membership.Registrar
+	Blocks     *blocklist.List
 	Metrics    *metrics.Metrics
 	// Rates are sent to the other VMs of the zone in heartbeats.
 	Rates *ingress.Rates
@@ -177,12 +191,13 @@
 	in.Groups.SetTableSource(state.Table)
 	lc.Append(fx.StopHook(endpoint.Close))
 	endpoint.SetSelf(in.currentMember)
-	listen.Background(lc, func(context.Context) { go endpoint.Receive(countingReceiver{in.Dispatcher, in.Metrics}) })
+	listen.Background(lc, func(context.Context) { go endpoint.Receive(countingReceiver{in.Dispatcher, in.Blocks, in.Metrics}) })
 	serveMetrics(lc, in)
 	listen.HTTPShort(lc, s.PeerListen, vmpeer.FeedHandler(mirror.NewFeed(in.Copy)))
 	listen.Background(lc, in.Mirror.Run)
 	listen.Background(lc, in.Registrar.Run)
 	listen.Background(lc, endpoint.SendHeartbeats)
+	listen.Background(lc, in.Blocks.Run)
 	listen.Background(lc, in.Lag.Run)
 	listen.Background(lc, func(ctx context.Context) { periodic.Run(ctx, expireInterval, in.Dispatcher.ExpireCrashes) })
 	directory := p.NewDirectory(func(host, zone string) ([]string, time.Duration) {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/primroseladder/primroseladder/internal/blocklist"
 	"github.com/primroseladder/primroseladder/internal/dispatch"
 	"github.com/primroseladder/primroseladder/internal/kv"
 	"github.com/primroseladder/primroseladder/internal/logevent"
@@ -31,13 +32,14 @@
 	IsNewer(a, b kv.Item) bool
 }
 
-// State holds the configuration and the backend servers in force on this VM. It applies the changes of the store to them
-// and to the fleet.
+// State holds the configuration and the backend servers in force on this VM. It applies the changes of the store to them,
+// to the fleet and to the list of blocked requests.
 type State struct {
 	codec      Codec
 	roster     *roster.Roster
 	dispatcher *dispatch.Dispatcher
 	fleet      *membership.Fleet
+	blocks     *blocklist.List
 	self       membership.Member
 	// onSelfRemoved is called when the store has removed the registration of this VM before a planned stop.
 	onSelfRemoved func()
@@ -60,10 +62,11 @@
 // NewState returns a State without a configuration. onSelfRemoved is called when the store has removed the registration of
 // this VM before a planned stop.
 func NewState(
-	codec Codec, d *dispatch.Dispatcher, f *membership.Fleet, self membership.Member, onSelfRemoved func(), log zerolog.Logger,
+	codec Codec, d *dispatch.Dispatcher, f *membership.Fleet, b *blocklist.List, self membership.Member, onSelfRemoved func(),
+	log zerolog.Logger,
 ) *State {
 	return &State{
-		codec: codec, roster: roster.New(), dispatcher: d, fleet: f, self: self, onSelfRemoved: onSelfRemoved,
+		codec: codec, roster: roster.New(), dispatcher: d, fleet: f, blocks: b, self: self, onSelfRemoved: onSelfRemoved,
 		started: time.Now(), configAdopted: make(chan struct{}), log: log,
 	}
 }
@@ -110,6 +113,8 @@
 			affectsDispatch = true
 		} else if name, ok := membership.VMName(item.Key); ok {
 			s.adoptMember(name, item)
+		} else if f, ok := blocklist.Fingerprint(item.Key); ok {
+			s.blocks.Apply(f, item)
 		}
 	}
 	if affectsDispatch {
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -48,6 +48,8 @@
 	ConfigRefused       = Event{1313, zerolog.ErrorLevel, "configuration not adopted"}
 	ServerEntryUnusable = Event{1314, zerolog.WarnLevel, "entry of a backend server cannot be used"}
 	RegistrationFailed  = Event{1315, zerolog.WarnLevel, "the registration of a VM failed or is unreadable"}
+	BlockStored         = Event{1318, zerolog.InfoLevel, "the block of a request that crashes backend servers is in the store"}
+	BlockFailed         = Event{1319, zerolog.WarnLevel, "the block of a request cannot be written to the store or read from it"}
 	StoreRestored       = Event{1317, zerolog.WarnLevel, "the store has come back from an older copy of itself"}
 	Registered          = Event{1316, zerolog.InfoLevel, "this VM is registered"}
 
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -1,10 +1,13 @@
 // Package poison blocks requests that crash the backend servers that run them. A request is identified by its
 // fingerprint: service, method, target and body. After crashes of two different backend servers it is blocked for a
-// time; an answer to it at any time unblocks it.
+// time; an answer to it at any time unblocks it on the VM that receives the answer. Package blocklist passes blocks on to VMs that
+// did not hear of the crashes.
 package poison
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,18 +47,36 @@
 	count   atomic.Int64
 	mu      sync.Mutex
 	records map[Fingerprint]*record
+	// blocked receives a value when a request becomes blocked.
+	blocked chan struct{}
 }
 
 type record struct {
 	crashedServers map[string]bool
-	lastCrash      time.Time
+	// isAdopted is set if another VM has blocked the request.
+	isAdopted bool
+	// isOwn is set if this VM saw one of the crashes.
+	isOwn     bool
+	expiresAt time.Time
 	// trial is not nil while a request that has crashed a backend server runs again. It is closed when that run ends.
 	trial chan struct{}
 }
 
+func (r *record) isBlocked() bool { return r.isAdopted || len(r.crashedServers) >= maxCrashedServers }
+
+// Block is a blocked request, as VMs pass it on to each other.
+type Block struct {
+	Fingerprint Fingerprint
+	// Remaining is how much longer the request is blocked. It only decreases on the way between VMs, so that they do not renew a
+	// block for each other.
+	Remaining time.Duration
+	// IsOwn is set if this VM saw one of the crashes.
+	IsOwn bool
+}
+
 // NewRegistry returns an empty registry that keeps crashes for window.
 func NewRegistry(window time.Duration) *Registry {
-	return &Registry{window: window, records: map[Fingerprint]*record{}}
+	return &Registry{window: window, records: map[Fingerprint]*record{}, blocked: make(chan struct{}, 1)}
 }
 
 // IsEmpty reports whether no crash is recorded.
@@ -86,7 +107,7 @@
 	switch {
 	case known == nil:
 		return nil, nil, true
-	case len(known.crashedServers) >= maxCrashedServers:
+	case known.isBlocked():
 		return nil, nil, false
 	case known.trial != nil:
 		return nil, known.trial, false
@@ -110,29 +131,98 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.findActive(f)
-	return known != nil && len(known.crashedServers) >= maxCrashedServers
+	return known != nil && known.isBlocked()
 }
 
-// RecordCrash records that the connection of a backend server broke without an answer while it ran the request. It
+// RecordCrash records that this VM saw the connection of a backend server break without an answer while it ran the request. It
 // reports whether this is the first recorded crash of the backend server by the request.
 func (r *Registry) RecordCrash(f Fingerprint, server string) bool {
+	return r.recordCrash(f, server, true)
+}
+
+// ReceiveCrash records a crash that another VM saw.
+func (r *Registry) ReceiveCrash(f Fingerprint, server string) { r.recordCrash(f, server, false) }
+
+func (r *Registry) recordCrash(f Fingerprint, server string, isOwn bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known := r.findActive(f)
+	known := r.findOrAdd(f)
 	if known == nil {
-		if len(r.records) >= maxFingerprints {
-			return false
-		}
-		known = &record{crashedServers: map[string]bool{}}
-		r.records[f] = known
-		r.count.Add(1)
+		return false
 	}
-	known.lastCrash = time.Now()
+	wasBlocked := known.isBlocked()
+	known.isOwn = known.isOwn || isOwn
+	known.expiresAt = time.Now().Add(r.window)
 	isNew := !known.crashedServers[server]
 	known.crashedServers[server] = true
+	r.notifyBlocked(wasBlocked, known)
 	return isNew
 }
 
+// AdoptBlock blocks a request that another VM has blocked.
+func (r *Registry) AdoptBlock(b Block) {
+	remaining := min(b.Remaining, r.window)
+	if remaining <= 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.findOrAdd(b.Fingerprint)
+	if known == nil {
+		return
+	}
+	wasBlocked := known.isBlocked()
+	known.isAdopted = true
+	if until := time.Now().Add(remaining); until.After(known.expiresAt) {
+		known.expiresAt = until
+	}
+	r.notifyBlocked(wasBlocked, known)
+}
+
+// findOrAdd returns the record of a request, or nil if there are too many. The caller holds r.mu.
+func (r *Registry) findOrAdd(f Fingerprint) *record {
+	if known := r.findActive(f); known != nil {
+		return known
+	}
+	if len(r.records) >= maxFingerprints {
+		return nil
+	}
+	added := &record{crashedServers: map[string]bool{}}
+	r.records[f] = added
+	r.count.Add(1)
+	return added
+}
+
+func (r *Registry) notifyBlocked(wasBlocked bool, known *record) {
+	if wasBlocked || !known.isBlocked() {
+		return
+	}
+	select {
+	case r.blocked <- struct{}{}:
+	default:
+	}
+}
+
+// Blocked returns a channel that receives a value after a request has become blocked.
+func (r *Registry) Blocked() <-chan struct{} { return r.blocked }
+
+// Blocks returns the blocked requests, in the order of their fingerprints.
+func (r *Registry) Blocks() []Block {
+	if r.IsEmpty() {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Block
+	for f, known := range r.records {
+		if remaining := time.Until(known.expiresAt); remaining > 0 && known.isBlocked() {
+			out = append(out, Block{Fingerprint: f, Remaining: remaining, IsOwn: known.isOwn})
+		}
+	}
+	slices.SortFunc(out, func(a, b Block) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return out
+}
+
 // RecordAnswer removes the record of a request that a backend server has answered. It reports whether there was one.
 func (r *Registry) RecordAnswer(f Fingerprint) bool {
 	r.mu.Lock()
@@ -144,7 +234,7 @@
 	return true
 }
 
-// Expire removes the records whose last crash is older than the window.
+// Expire removes the records whose window has ended.
 func (r *Registry) Expire() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -155,7 +245,7 @@
 
 func (r *Registry) findActive(f Fingerprint) *record {
 	known := r.records[f]
-	if known != nil && time.Since(known.lastCrash) > r.window {
+	if known != nil && !time.Now().Before(known.expiresAt) {
 		r.remove(f)
 		return nil
 	}
--- a/internal/vmpeer/codec.go
+++ b/internal/vmpeer/codec.go
@@ -3,7 +3,7 @@
 // Within a zone the VMs send each other heartbeats, reports of silent VMs and requests for a heartbeat, and store readers
 // also send heartbeats to the relays of other zones. Evidence on backend servers stays within a region; other regions get only the health
 // transitions of backend servers. Crash reports, about requests that broke the connections of backend servers, go to all VMs.
-// Datagrams are independent of each other and a later one repeats or replaces an earlier one, so the loss of one reduces
+// Each VM regularly asks another one for the requests that it blocks. Datagrams are independent of each other and a later one repeats or replaces an earlier one, so the loss of one reduces
 // accuracy only. Datagrams that cannot be decoded are logged and dropped.
 package vmpeer
 
@@ -33,6 +33,8 @@
 	kindProbe            datagramKind = 6
 	kindHealthQuestion   datagramKind = 7
 	kindHealthAnswer     datagramKind = 8
+	kindBlockQuestion    datagramKind = 9
+	kindBlockAnswer      datagramKind = 10
 )
 
 const (
@@ -219,6 +221,51 @@
 	return crash{fingerprint: poison.Fingerprint(binary.BigEndian.Uint64(body)), server: server}, err
 }
 
+// encodeBlockQuestion encodes a question for blocks. digest is that of the blocks of the VM that asks.
+func encodeBlockQuestion(digest uint64) []byte {
+	return binary.BigEndian.AppendUint64([]byte{byte(kindBlockQuestion)}, digest)
+}
+
+func decodeBlockQuestion(body []byte) (digest uint64, err error) {
+	if len(body) < 8 {
+		return 0, fmt.Errorf("decode block question: body of %d bytes is shorter than the minimum of 8", len(body))
+	}
+	return binary.BigEndian.Uint64(body), nil
+}
+
+const (
+	// blockBytes is the encoded size of a block.
+	blockBytes = 12
+	// maxBlocksSent is the number of blocks that fit into a datagram.
+	maxBlocksSent = 100
+)
+
+// encodeBlockAnswer encodes, for each block, the fingerprint (8 bytes) and the remaining time in milliseconds (4 bytes), both big
+// endian.
+func encodeBlockAnswer(blocks []poison.Block) []byte {
+	out := make([]byte, 1, 1+len(blocks)*blockBytes)
+	out[0] = byte(kindBlockAnswer)
+	for _, b := range blocks {
+		out = binary.BigEndian.AppendUint64(out, uint64(b.Fingerprint))
+		out = binary.BigEndian.AppendUint32(out, uint32(min(max(0, b.Remaining.Milliseconds()), math.MaxUint32)))
+	}
+	return out
+}
+
+func decodeBlockAnswer(body []byte) ([]poison.Block, error) {
+	if len(body)%blockBytes != 0 {
+		return nil, fmt.Errorf("decode block answer: body of %d bytes is no multiple of %d", len(body), blockBytes)
+	}
+	var out []poison.Block
+	for ; len(body) > 0; body = body[blockBytes:] {
+		out = append(out, poison.Block{
+			Fingerprint: poison.Fingerprint(binary.BigEndian.Uint64(body)),
+			Remaining:   time.Duration(binary.BigEndian.Uint32(body[8:])) * time.Millisecond,
+		})
+	}
+	return out, nil
+}
+
 // appendName appends the length of a name, as one byte, and the name. A name of more than 255 bytes is truncated.
 func appendName(out []byte, name string) []byte {
 	name = name[:min(len(name), 255)]
--- a/internal/vmpeer/codec_test.go
+++ b/internal/vmpeer/codec_test.go
@@ -10,6 +10,7 @@
 	"github.com/primroseladder/primroseladder/internal/dispatch"
 	"github.com/primroseladder/primroseladder/internal/evidence"
 	"github.com/primroseladder/primroseladder/internal/membership"
+	"github.com/primroseladder/primroseladder/internal/poison"
 )
 
 func TestEvidenceRoundTrip(t *testing.T) {
@@ -46,6 +47,18 @@
 	qt.Check(t, len(encodeHealthAnswer("wuno96b", many)) < 1400, qt.IsTrue)
 }
 
+// TestBlocksRoundTrip also checks that the answer with the most blocks fits into the receive buffer.
+func TestBlocksRoundTrip(t *testing.T) {
+	digest, err := decodeBlockQuestion(encodeBlockQuestion(0xfedcba9876543210)[1:])
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, digest, qt.Equals, uint64(0xfedcba9876543210))
+	blocks := []poison.Block{{Fingerprint: 0xfedcba9876543210, Remaining: 9 * time.Minute}, {Fingerprint: 1, Remaining: time.Millisecond}}
+	got, err := decodeBlockAnswer(encodeBlockAnswer(blocks)[1:])
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, got, qt.DeepEquals, blocks)
+	qt.Check(t, len(encodeBlockAnswer(make([]poison.Block, maxBlocksSent))) < maxDatagramBytes, qt.IsTrue)
+}
+
 func TestCrashAndHeartbeatRoundTrip(t *testing.T) {
 	c := qt.New(t)
 	report := crash{fingerprint: 0xfedcba9876543210, server: "i-1"}
@@ -63,6 +76,7 @@
 func FuzzDatagrams(f *testing.F) {
 	f.Add(encodeEvidence(dispatch.Evidence{Service: "s", Server: "i-1", Open: 3}))
 	f.Add(encodeCrash(crash{fingerprint: 1, server: "i-1"}))
+	f.Add(encodeBlockAnswer([]poison.Block{{Fingerprint: 1, Remaining: time.Minute}}))
 	f.Fuzz(func(t *testing.T, datagram []byte) {
 		if len(datagram) == 0 {
 			return
@@ -72,6 +86,10 @@
 			t.Fatalf("decoded the unknown outcome %d", e.Outcome)
 		}
 		_, _ = decodeCrash(body)
+		_, _ = decodeBlockQuestion(body)
+		if blocks, err := decodeBlockAnswer(body); err == nil && len(blocks)*blockBytes != len(body) {
+			t.Fatalf("decoded %d blocks from %d bytes", len(blocks), len(body))
+		}
 		if m, err := decodeHeartbeat(body); err == nil && m.Name == "" {
 			t.Fatal("decoded a heartbeat without a VM name")
 		}
--- a/internal/vmpeer/endpoint.go
+++ b/internal/vmpeer/endpoint.go
@@ -42,6 +42,10 @@
 	ReceiveHealthTransition(e dispatch.Evidence)
 	// ReceiveCrash is called with a request that broke the connection of a backend server.
 	ReceiveCrash(f poison.Fingerprint, server string)
+	// BlocksBesides returns the blocks of this VM if their digest differs from the given one.
+	BlocksBesides(digest uint64) []poison.Block
+	// ReceiveBlocks is called with the answer to a question for blocks.
+	ReceiveBlocks(blocks []poison.Block)
 	// KnownHealth returns what this VM knows of the health of a service's backend servers.
 	KnownHealth(service string) []dispatch.ServerHealth
 	// ReceiveHealth is called with the answer to a question of this VM.
@@ -186,6 +190,18 @@
 			to.ReceiveCrash(c.fingerprint, c.server)
 		}
 		return err
+	case kindBlockQuestion:
+		digest, err := decodeBlockQuestion(body)
+		if err == nil {
+			ep.sendBlocks(from.String(), to.BlocksBesides(digest))
+		}
+		return err
+	case kindBlockAnswer:
+		blocks, err := decodeBlockAnswer(body)
+		if err == nil {
+			to.ReceiveBlocks(blocks)
+		}
+		return err
 	default:
 		return fmt.Errorf("decode datagram: unknown kind %d", datagram[0])
 	}
@@ -296,6 +312,31 @@
 	}
 }
 
+// otherRegionsPeriod is how many questions for blocks on average include one to a VM of any region.
+const otherRegionsPeriod = 4
+
+// AskBlocks asks a registered VM, mostly one of the local region, for its blocks. digest is that of the blocks of this VM.
+func (ep *Endpoint) AskBlocks(digest uint64) {
+	all := ep.fleet.RegisteredPeers()
+	region := ep.self().Region
+	local := slices.DeleteFunc(slices.Clone(all), func(m membership.Member) bool { return m.Region != region })
+	if len(local) > 0 && rand.IntN(otherRegionsPeriod) > 0 {
+		all = local
+	}
+	if len(all) > 0 {
+		ep.send(all[rand.IntN(len(all))].PeerAddress, encodeBlockQuestion(digest))
+	}
+}
+
+// sendBlocks sends as many blocks as a datagram holds, chosen at random.
+func (ep *Endpoint) sendBlocks(address string, blocks []poison.Block) {
+	if len(blocks) == 0 {
+		return
+	}
+	rand.Shuffle(len(blocks), func(i, j int) { blocks[i], blocks[j] = blocks[j], blocks[i] })
+	ep.send(address, encodeBlockAnswer(blocks[:min(len(blocks), maxBlocksSent)]))
+}
+
 // replyToHeartbeat answers a heartbeat of the VM m with one of this VM if m has no copy of the store yet and this VM has
 // one. In a large zone, whose VMs do not all receive each other's regular heartbeats, it also answers if m was unknown or
 // silent before (isNew), whether or not either has a copy. It then first sends m a silence report about m itself, which
--- a/internal/vmpeer/subscription_test.go
+++ b/internal/vmpeer/subscription_test.go
@@ -18,6 +18,8 @@
 func (noReceiver) ReceiveEvidence(string, dispatch.Evidence)     {}
 func (noReceiver) ReceiveHealthTransition(dispatch.Evidence)     {}
 func (noReceiver) ReceiveCrash(poison.Fingerprint, string)       {}
+func (noReceiver) BlocksBesides(uint64) []poison.Block           { return nil }
+func (noReceiver) ReceiveBlocks([]poison.Block)                  {}
 func (noReceiver) KnownHealth(string) []dispatch.ServerHealth    { return nil }
 func (noReceiver) ReceiveHealth(string, []dispatch.ServerHealth) {}
 
--- a/internal/vmpeer/zone_test.go
+++ b/internal/vmpeer/zone_test.go
@@ -116,6 +116,8 @@
 func (discardReceiver) ReceiveHealthTransition(dispatch.Evidence) {}
 func (discardReceiver) ReceiveCrash(poison.Fingerprint, string)   {}
 
+func (discardReceiver) BlocksBesides(uint64) []poison.Block        { return nil }
+func (discardReceiver) ReceiveBlocks([]poison.Block)               {}
 func (discardReceiver) KnownHealth(string) []dispatch.ServerHealth { return nil }
 
 func (discardReceiver) ReceiveHealth(string, []dispatch.ServerHealth) {}
