--- a/internal/soak/advice.go
+++ b/internal/soak/advice.go
@@ -173,8 +173,7 @@
 const adviceSeed = 0x5eed
 
 // injectAdvice lets backend servers say things about themselves until the given time, and waits until all have ended.
-func (d *deployment) injectAdvice(end time.Time) {
-	draw := rand.New(rand.NewPCG(d.options.Seed, adviceSeed))
+func (d *deployment) injectAdvice(draw *rand.Rand, end time.Time) {
 	var wait sync.WaitGroup
 	for {
 		time.Sleep(time.Duration(draw.ExpFloat64() * float64(meanAdviceInterval)))
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -39,9 +39,10 @@
 	VMsPerZone, ServersPerZone int
 	// Callers is the number of callers; 0 means 36.
 	Callers int
-	// FaultsOnly leaves out restored stores and what backend servers say about themselves, so that seeds from before these have
-	// the course that failed.
+	// FaultsOnly leaves out all series, so that seeds from before these have the course that failed.
 	FaultsOnly bool
+	// Only is the name of a series to which the faults are restricted, if it is not empty.
+	Only string
 	// GatewayPath is the path of the primrose-gateway program, Dir the directory for settings files and logs.
 	GatewayPath, Dir string
 	// Logf logs each fault and the counts of the result.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -67,13 +67,12 @@
 func (d *deployment) injectFaults() {
 	var wait sync.WaitGroup
 	end := time.Now().Add(d.options.Duration)
-	if !d.options.FaultsOnly {
-		wait.Go(func() { d.injectAdvice(end) })
-	}
-	if !d.options.FaultsOnly {
-		wait.Go(func() { d.restoreStores(end) })
+	for _, s := range allSeries {
+		if s.name == d.options.Only || d.options.Only == "" && !d.options.FaultsOnly {
+			wait.Go(func() { s.inject(d, rand.New(rand.NewPCG(d.options.Seed, s.seed)), end) })
+		}
 	}
-	for time.Now().Before(end) {
+	for d.options.Only == "" && time.Now().Before(end) {
 		time.Sleep(time.Duration(d.random.ExpFloat64() * float64(meanFaultInterval)))
 		kind := faultKinds[d.random.IntN(len(faultKinds))]
 		draw := rand.New(rand.NewPCG(d.options.Seed, d.random.Uint64()))
@@ -271,10 +270,18 @@
 	return nil
 }
 
-// removeBackend removes a random backend server from the deployment's list and returns it. It returns nil if the service
-// has no more backend servers than there are zones, or if another fault has removed the drawn one meanwhile.
+// removeBackend removes a random backend server from the deployment's list and returns it, or nil if it has to stay.
 func (d *deployment) removeBackend(draw *rand.Rand) *backendServer {
 	b := pickBackend(d, draw)
+	if !d.unlist(b) {
+		return nil
+	}
+	return b
+}
+
+// unlist removes a backend server from the deployment's list. It reports false if the service has no more backend servers than there
+// are zones, or if another fault has removed this one.
+func (d *deployment) unlist(b *backendServer) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	remaining := 0
@@ -284,10 +291,10 @@
 		}
 	}
 	if remaining <= len(zoneNames) || d.servers[b.ID] == nil {
-		return nil
+		return false
 	}
 	delete(d.servers, b.ID)
-	return b
+	return true
 }
 
 // drainBackend removes a backend server after the drain time: two times in three its entry is first marked as draining,
--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -18,8 +18,7 @@
 )
 
 // restoreStores lets the store come back from older copies of itself until the given time.
-func (d *deployment) restoreStores(end time.Time) {
-	draw := rand.New(rand.NewPCG(d.options.Seed, restoreSeed))
+func (d *deployment) restoreStores(draw *rand.Rand, end time.Time) {
 	for {
 		time.Sleep(time.Duration(draw.ExpFloat64() * float64(meanRestoreInterval)))
 		backup, age := d.store.Backup(), drawDuration(draw)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -71,33 +71,54 @@
 	}
 }
 
+// seriesDuration is the duration of the soaks of one series.
+const seriesDuration = 30 * time.Second
+
+// TestRemovalsWhileVMsAreAway guards against VMs that never learn that a backend server was removed while they were frozen and the
+// VMs that they could ask were killed (DRAIN).
+func TestRemovalsWhileVMsAreAway(t *testing.T) {
+	t.Parallel()
+	runSeries(t, soak.MissedRemovals)
+}
+
+func runSeries(t *testing.T, name string) {
+	seed := uint64(intFromEnv(t, "SOAK_SEED", 1))
+	runSoak(t, soak.Options{Seed: seed, Duration: seriesDuration, GatewayPath: buildGateway(t), Only: name, VMsPerZone: 4})
+}
+
 func runSeed(t *testing.T, slots chan struct{}, program string, seed uint64, duration time.Duration, faultsOnly bool) {
 	t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 		t.Parallel()
 		slots <- struct{}{}
 		defer func() { <-slots }()
-		dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
-		qt.Assert(t, err, qt.IsNil)
-		began := time.Now()
-		logf := func(format string, args ...any) {
-			t.Logf("%6.3f %s", time.Since(began).Seconds(), fmt.Sprintf(format, args...))
-		}
-		violations, err := soak.Run(soak.Options{
-			Seed: seed, Duration: duration, FaultsOnly: faultsOnly, GatewayPath: program, Dir: dir, Logf: logf,
+		runSoak(t, soak.Options{
+			Seed: seed, Duration: duration, FaultsOnly: faultsOnly, GatewayPath: program,
 			VMsPerZone: intFromEnv(t, "SOAK_VMS", 0), ServersPerZone: intFromEnv(t, "SOAK_SERVERS", 0), Callers: intFromEnv(t, "SOAK_CALLERS", 0),
 		})
-		qt.Assert(t, err, qt.IsNil)
-		for _, violation := range violations {
-			t.Errorf("seed %d: %s", seed, violation)
-		}
-		if t.Failed() {
-			t.Logf("settings and logs are in %s", dir)
-			return
-		}
-		qt.Check(t, os.RemoveAll(dir), qt.IsNil)
 	})
 }
 
+// runSoak runs one soak and keeps its settings files and logs if it fails.
+func runSoak(t *testing.T, o soak.Options) {
+	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", o.Seed))
+	qt.Assert(t, err, qt.IsNil)
+	began := time.Now()
+	o.Dir = dir
+	o.Logf = func(format string, args ...any) {
+		t.Logf("%6.3f %s", time.Since(began).Seconds(), fmt.Sprintf(format, args...))
+	}
+	violations, err := soak.Run(o)
+	qt.Assert(t, err, qt.IsNil)
+	for _, violation := range violations {
+		t.Errorf("seed %d: %s", o.Seed, violation)
+	}
+	if t.Failed() {
+		t.Logf("settings and logs are in %s", dir)
+		return
+	}
+	qt.Check(t, os.RemoveAll(dir), qt.IsNil)
+}
+
 func intFromEnv(t *testing.T, variable string, defaultValue int) int {
 	text := os.Getenv(variable)
 	if text == "" {
