soak: requests that crash backend servers come again while the VMs restart in turn

Requests with one path reset all connections of the backend server that runs them. They go to random VMs, and to each VM that was killed and started, 3.2 s later, when it must know what the others know. More than three runs later than 3 s after the third crash, by VMs undisturbed since then, are a violation.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -122,6 +122,7 @@
 	b.checkArrival(r, id, string(body))
 	if sent := b.ledger.request(id); sent != nil {
 		b.checkAdvice(sent)
+		b.crashBy(sent)
 		if b.turnAway(w, sent.vm) {
 			return
 		}
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -55,6 +55,7 @@
 	}
 	tally.check(l)
 	d.checkRetryBudget(requests, runs)
+	d.checkCrashes()
 	for _, v := range d.vms {
 		if err := v.checkLog(l); err != nil {
 			l.recordViolation("FAULT: the log of %s: %v", v.Name, err)
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -86,6 +86,7 @@
 	mu       sync.Mutex
 	requests map[string]*request
 	runs     map[string][]*run
+	crashes  []crash
 	configs  []configVersion
 	// violations describes the broken promises found so far.
 	violations []string
@@ -146,6 +147,23 @@
 	r.ended, r.status, r.isCancelled = time.Now(), status, isCancelled
 }
 
+func (l *ledger) recordCrash(c crash) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashes = append(l.crashes, c)
+}
+
+// crashesByURI returns the crashes by the requests that caused them, in their order.
+func (l *ledger) crashesByURI() map[string][]crash {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := map[string][]crash{}
+	for _, c := range l.crashes {
+		out[c.request.uri] = append(out[c.request.uri], c)
+	}
+	return out
+}
+
 // hasAnswer reports whether the backend server that made the signature answered the request with the status.
 func (l *ledger) hasAnswer(id, signature string, status int) bool {
 	l.mu.Lock()
--- a/internal/soak/series.go
+++ b/internal/soak/series.go
@@ -18,10 +18,13 @@
 	// MissedRemovals freezes VMs while a backend server is removed and the other VMs of their region are killed, and cuts them off
 	// from the store when they wake.
 	MissedRemovals = "missed-removals"
+	// CrashingRequests sends requests that crash backend servers while the VMs are restarted in turn.
+	CrashingRequests = "crashing-requests"
 )
 
 var allSeries = []series{
 	{"advice", adviceSeed, (*deployment).injectAdvice},
 	{"restored-stores", restoreSeed, (*deployment).restoreStores},
 	{MissedRemovals, 0x3e3, (*deployment).missRemovals},
+	{CrashingRequests, 0xc4a, (*deployment).sendCrashingRequests},
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -81,6 +81,13 @@
 	runSeries(t, soak.MissedRemovals)
 }
 
+// TestCrashingRequestsWhileVMsRestart guards against VMs that do not know, after a start, which requests crash backend servers
+// (BUDGET).
+func TestCrashingRequestsWhileVMsRestart(t *testing.T) {
+	t.Parallel()
+	runSeries(t, soak.CrashingRequests)
+}
+
 func runSeries(t *testing.T, name string) {
 	seed := uint64(intFromEnv(t, "SOAK_SEED", 1))
 	runSoak(t, soak.Options{Seed: seed, Duration: seriesDuration, GatewayPath: buildGateway(t), Only: name, VMsPerZone: 4})
