poison: an answer ends a block on all VMs

A request that is in flight when its block forms may still be answered; it is then no request that crashes.

The end of a block is remembered for the window and passed on like a block; of the two the one with more time left is later. The key in the store is removed. TestAnswerEndsABlockEverywhere. Ruled out: taking the removal of the key for the end, as the store also drops keys in an outage.

--- a/internal/blocklist/blocklist.go
+++ b/internal/blocklist/blocklist.go
@@ -94,7 +94,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-l.Registry.Blocked():
+		case <-l.Registry.Changes():
 		case <-l.removed:
 		}
 	}
@@ -113,7 +113,11 @@
 func (l *List) Digest() uint64 {
 	var digest uint64
 	for _, b := range l.Known() {
-		digest ^= xxhash.Sum64(binary.BigEndian.AppendUint64(nil, uint64(b.Fingerprint)))
+		encoded := binary.BigEndian.AppendUint64(nil, uint64(b.Fingerprint))
+		if b.IsAnswered {
+			encoded = append(encoded, 1)
+		}
+		digest ^= xxhash.Sum64(encoded)
 	}
 	return digest
 }
@@ -140,7 +144,7 @@
 // ReceiveBlocks adopts the blocks of another VM.
 func (l *List) ReceiveBlocks(blocks []poison.Block) {
 	for _, b := range blocks {
-		l.Registry.AdoptBlock(b)
+		l.Registry.Adopt(b)
 	}
 }
 
@@ -179,7 +183,7 @@
 		logevent.BlockFailed.Log(l.Log).Str("key", item.Key).Err(err).Send()
 		return
 	}
-	l.Registry.AdoptBlock(poison.Block{Fingerprint: f, Remaining: time.Until(time.UnixMilli(block.UntilMS))})
+	l.Registry.Adopt(poison.Block{Fingerprint: f, Remaining: time.Until(time.UnixMilli(block.UntilMS))})
 }
 
 func (l *List) setStored(f poison.Fingerprint, isStored bool) {
@@ -192,7 +196,7 @@
 	}
 }
 
-// writeMissing writes blocks that the store lacks. It reports whether some are still missing.
+// writeMissing writes blocks that the store lacks and removes those that have ended with an answer. It reports whether some are still missing.
 func (l *List) writeMissing(ctx context.Context) bool {
 	missing, due := l.missing(time.Now())
 	for _, b := range due[:min(len(due), maxWrites)] {
@@ -209,17 +213,18 @@
 	return missing > 0
 }
 
-// missing returns how many blocks the store lacks, and those that this VM has to write now.
+// missing returns how many blocks the store lacks or has though they have ended, and those that this VM has to write now.
 func (l *List) missing(now time.Time) (count int, due []poison.Block) {
 	isReader := l.IsReader()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.stored) >= maxStored {
-		return 0, nil
-	}
+	isFull := len(l.stored) >= maxStored
 	firstMissing := map[poison.Fingerprint]time.Time{}
 	for _, b := range l.Known() {
-		if l.stored[b.Fingerprint] {
+		if l.stored[b.Fingerprint] != b.IsAnswered {
+			continue
+		}
+		if isFull && !b.IsAnswered {
 			continue
 		}
 		count++
@@ -236,8 +241,12 @@
 	return count, due
 }
 
-// write writes a block to the store unless it has it.
+// write writes a block to the store unless it has it, or removes one that has ended.
 func (l *List) write(ctx context.Context, b poison.Block) error {
+	if b.IsAnswered {
+		_, err := l.Store.Commit(ctx, kv.Txn{Deletes: []string{Key(b.Fingerprint)}})
+		return err
+	}
 	lease, err := l.Store.Grant(ctx, b.Remaining)
 	if err != nil {
 		return err
@@ -261,8 +270,8 @@
 // noteResult records that a block was written, and logs the first of several failures.
 func (l *List) noteResult(b poison.Block, err error) {
 	if err == nil {
-		l.setStored(b.Fingerprint, true)
-		logevent.BlockStored.Log(l.Log).Str("key", Key(b.Fingerprint)).Dur("remaining", b.Remaining).Send()
+		l.setStored(b.Fingerprint, !b.IsAnswered)
+		logevent.BlockStored.Log(l.Log).Str("key", Key(b.Fingerprint)).Bool("ended", b.IsAnswered).Dur("remaining", b.Remaining).Send()
 	} else if !l.isFailing {
 		logevent.BlockFailed.Log(l.Log).Str("key", Key(b.Fingerprint)).Err(err).Send()
 	}
--- a/internal/blocklist/blocklist_test.go
+++ b/internal/blocklist/blocklist_test.go
@@ -206,6 +206,39 @@
 	})
 }
 
+// TestAnswerEndsABlockEverywhere checks that a block ends on all VMs, and in the store, once a backend server has answered the
+// request on one of them, and that a later crash blocks it again.
+func TestAnswerEndsABlockEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := &fleet{store: kvtest.New()}
+		for range 3 {
+			f.start(ctx, false)
+		}
+		f.vms[0].crash("a")
+		f.vms[0].crash("b")
+		time.Sleep(contact)
+		f.vms[0].registry.RecordAnswer(bad)
+		time.Sleep(2 * contact)
+		f.start(ctx, false)
+		time.Sleep(contact)
+		for n, v := range f.vms {
+			qt.Check(t, v.registry.IsBlocked(bad), qt.IsFalse, qt.Commentf("VM %d", n))
+		}
+		page, err := f.store.Client().Range(ctx, "", "")
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, page.Items, qt.HasLen, 0)
+		f.vms[2].crash("c")
+		f.vms[2].crash("d")
+		time.Sleep(contact)
+		for n, v := range f.vms {
+			qt.Check(t, v.registry.IsBlocked(bad), qt.IsTrue, qt.Commentf("VM %d", n))
+		}
+		cancel()
+		time.Sleep(contact)
+	})
+}
+
 // TestFewWritesForABlock checks that a block costs the store a few calls, not one for each VM.
 func TestFewWritesForABlock(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -50,7 +50,13 @@
 		return 0
 	})
 	m.RegisterGauge("blocked_requests", "Requests that are blocked because they crash backend servers.", func() float64 {
-		return float64(len(in.Blocks.Registry.Blocks()))
+		blocked := 0
+		for _, b := range in.Blocks.Known() {
+			if !b.IsAnswered {
+				blocked++
+			}
+		}
+		return float64(blocked)
 	})
 	m.RegisterGauge("neighbours", "Other live VMs of the availability zone, and store readers of other zones.", func() float64 {
 		return float64(len(in.Fleet.Sources()))
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -1,12 +1,12 @@
 // Package poison blocks requests that crash the backend servers that run them. A request is identified by its
 // fingerprint: service, method, target and body. After crashes of two different backend servers it is blocked for a
-// time; an answer to it at any time unblocks it on the VM that receives the answer. Package blocklist passes blocks on to VMs that
-// did not hear of the crashes.
+// time; an answer to it at any time unblocks it. Package blocklist passes blocks and their ends on to VMs that did not hear of them.
 package poison
 
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -47,8 +47,18 @@
 	count   atomic.Int64
 	mu      sync.Mutex
 	records map[Fingerprint]*record
-	// blocked receives a value when a request becomes blocked.
-	blocked chan struct{}
+	// answered holds the requests whose block has ended with an answer.
+	answered map[Fingerprint]answer
+	// changes receives a value when a request becomes blocked or its block ends with an answer.
+	changes chan struct{}
+}
+
+// answer is the end of a block.
+type answer struct {
+	// until is how long it is remembered, so that an earlier block is not adopted again.
+	until time.Time
+	// isOwn is set if this VM received the answer.
+	isOwn bool
 }
 
 type record struct {
@@ -64,19 +74,24 @@
 
 func (r *record) isBlocked() bool { return r.isAdopted || len(r.crashedServers) >= maxCrashedServers }
 
-// Block is a blocked request, as VMs pass it on to each other.
+// Block is a blocked request, or one whose block has ended with an answer, as VMs pass it on to each other. Of two with the same
+// fingerprint, the one that remains longer is later.
 type Block struct {
 	Fingerprint Fingerprint
-	// Remaining is how much longer the request is blocked. It only decreases on the way between VMs, so that they do not renew a
-	// block for each other.
+	// Remaining is how much longer the request is blocked, or the end of its block remembered. It only decreases on the way between
+	// VMs, so that they do not renew a block for each other.
 	Remaining time.Duration
-	// IsOwn is set if this VM saw one of the crashes.
+	// IsAnswered is set if a backend server has answered the request, so that it is no longer blocked.
+	IsAnswered bool
+	// IsOwn is set if this VM saw one of the crashes, or received the answer.
 	IsOwn bool
 }
 
 // NewRegistry returns an empty registry that keeps crashes for window.
 func NewRegistry(window time.Duration) *Registry {
-	return &Registry{window: window, records: map[Fingerprint]*record{}, blocked: make(chan struct{}, 1)}
+	return &Registry{
+		window: window, records: map[Fingerprint]*record{}, answered: map[Fingerprint]answer{}, changes: make(chan struct{}, 1),
+	}
 }
 
 // IsEmpty reports whether no crash is recorded.
@@ -155,28 +170,53 @@
 	known.expiresAt = time.Now().Add(r.window)
 	isNew := !known.crashedServers[server]
 	known.crashedServers[server] = true
-	r.notifyBlocked(wasBlocked, known)
+	if !wasBlocked && known.isBlocked() {
+		r.notify()
+	}
 	return isNew
 }
 
-// AdoptBlock blocks a request that another VM has blocked.
-func (r *Registry) AdoptBlock(b Block) {
+// Adopt adopts the block, or the end of a block, of another VM unless this VM knows a later one of the request.
+func (r *Registry) Adopt(b Block) {
 	remaining := min(b.Remaining, r.window)
 	if remaining <= 0 {
 		return
 	}
+	until := time.Now().Add(remaining)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !until.After(r.answered[b.Fingerprint].until) {
+		return
+	}
+	if b.IsAnswered {
+		if known := r.findActive(b.Fingerprint); known == nil || !known.expiresAt.After(until) {
+			r.endBlock(b.Fingerprint, answer{until: until})
+		}
+		return
+	}
 	known := r.findOrAdd(b.Fingerprint)
 	if known == nil {
 		return
 	}
 	wasBlocked := known.isBlocked()
 	known.isAdopted = true
-	if until := time.Now().Add(remaining); until.After(known.expiresAt) {
+	if until.After(known.expiresAt) {
 		known.expiresAt = until
 	}
-	r.notifyBlocked(wasBlocked, known)
+	if !wasBlocked {
+		r.notify()
+	}
+}
+
+// endBlock forgets the crashes of a request and remembers its answer. The caller holds r.mu.
+func (r *Registry) endBlock(f Fingerprint, a answer) {
+	if r.records[f] != nil {
+		r.remove(f)
+	}
+	if _, isKnown := r.answered[f]; isKnown || len(r.answered) < maxFingerprints {
+		r.answered[f] = a
+		r.notify()
+	}
 }
 
 // findOrAdd returns the record of a request, or nil if there are too many. The caller holds r.mu.
@@ -193,24 +233,18 @@
 	return added
 }
 
-func (r *Registry) notifyBlocked(wasBlocked bool, known *record) {
-	if wasBlocked || !known.isBlocked() {
-		return
-	}
+func (r *Registry) notify() {
 	select {
-	case r.blocked <- struct{}{}:
+	case r.changes <- struct{}{}:
 	default:
 	}
 }
 
-// Blocked returns a channel that receives a value after a request has become blocked.
-func (r *Registry) Blocked() <-chan struct{} { return r.blocked }
+// Changes returns a channel that receives a value after a request has become blocked or its block has ended with an answer.
+func (r *Registry) Changes() <-chan struct{} { return r.changes }
 
-// Blocks returns the blocked requests, in the order of their fingerprints.
+// Blocks returns the blocked requests and those whose block has ended with an answer, in the order of their fingerprints.
 func (r *Registry) Blocks() []Block {
-	if r.IsEmpty() {
-		return nil
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []Block
@@ -219,17 +253,28 @@
 			out = append(out, Block{Fingerprint: f, Remaining: remaining, IsOwn: known.isOwn})
 		}
 	}
+	for f, a := range r.answered {
+		if remaining := time.Until(a.until); remaining > 0 && r.records[f] == nil {
+			out = append(out, Block{Fingerprint: f, Remaining: remaining, IsAnswered: true, IsOwn: a.isOwn})
+		}
+	}
 	slices.SortFunc(out, func(a, b Block) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return out
 }
 
-// RecordAnswer removes the record of a request that a backend server has answered. It reports whether there was one.
+// RecordAnswer removes the record of a request that a backend server has answered. It reports whether there was one. The end of a
+// block is remembered for the window.
 func (r *Registry) RecordAnswer(f Fingerprint) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.records[f] == nil {
+	known := r.findActive(f)
+	if known == nil {
 		return false
 	}
+	if known.isBlocked() {
+		r.endBlock(f, answer{until: time.Now().Add(r.window), isOwn: true})
+		return true
+	}
 	r.remove(f)
 	return true
 }
@@ -241,6 +286,8 @@
 	for f := range r.records {
 		r.findActive(f)
 	}
+	now := time.Now()
+	maps.DeleteFunc(r.answered, func(_ Fingerprint, a answer) bool { return !a.until.After(now) })
 }
 
 func (r *Registry) findActive(f Fingerprint) *record {
--- a/internal/vmpeer/codec.go
+++ b/internal/vmpeer/codec.go
@@ -235,19 +235,24 @@
 
 const (
 	// blockBytes is the encoded size of a block.
-	blockBytes = 12
+	blockBytes = 13
 	// maxBlocksSent is the number of blocks that fit into a datagram.
 	maxBlocksSent = 100
 )
 
 // encodeBlockAnswer encodes, for each block, the fingerprint (8 bytes) and the remaining time in milliseconds (4 bytes), both big
-// endian.
+// endian, and 1 if the block has ended with an answer, else 0 (1 byte).
 func encodeBlockAnswer(blocks []poison.Block) []byte {
 	out := make([]byte, 1, 1+len(blocks)*blockBytes)
 	out[0] = byte(kindBlockAnswer)
 	for _, b := range blocks {
 		out = binary.BigEndian.AppendUint64(out, uint64(b.Fingerprint))
 		out = binary.BigEndian.AppendUint32(out, uint32(min(max(0, b.Remaining.Milliseconds()), math.MaxUint32)))
+		var answered byte
+		if b.IsAnswered {
+			answered = 1
+		}
+		out = append(out, answered)
 	}
 	return out
 }
@@ -261,6 +266,7 @@
 		out = append(out, poison.Block{
 			Fingerprint: poison.Fingerprint(binary.BigEndian.Uint64(body)),
 			Remaining:   time.Duration(binary.BigEndian.Uint32(body[8:])) * time.Millisecond,
+			IsAnswered:  body[12] != 0,
 		})
 	}
 	return out, nil
--- a/internal/vmpeer/codec_test.go
+++ b/internal/vmpeer/codec_test.go
@@ -52,7 +52,7 @@
 	digest, err := decodeBlockQuestion(encodeBlockQuestion(0xfedcba9876543210)[1:])
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, digest, qt.Equals, uint64(0xfedcba9876543210))
-	blocks := []poison.Block{{Fingerprint: 0xfedcba9876543210, Remaining: 9 * time.Minute}, {Fingerprint: 1, Remaining: time.Millisecond}}
+	blocks := []poison.Block{{Fingerprint: 0xfedcba9876543210, Remaining: 9 * time.Minute}, {Fingerprint: 1, Remaining: time.Millisecond, IsAnswered: true}}
 	got, err := decodeBlockAnswer(encodeBlockAnswer(blocks)[1:])
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, got, qt.DeepEquals, blocks)
