entry: an entry that starts learns which requests are blocked

Notes on crashes went to the entries of a service's groups once; an entry that was killed and started, or did not take the note within 200 ms, ran the request again.

Not covered: all entries started at once; the entries write nothing to the store, only the keepers do.

--- a/internal/blocklist/blocklist.go
+++ b/internal/blocklist/blocklist.go
@@ -51,13 +51,14 @@
 
 // Options configures a List.
 type Options struct {
+	// Store receives the blocks. If it is nil, they are only passed on by questions.
 	Store    kv.Store
 	Registry *poison.Registry
 	// IsReader reports whether this VM reads the store for its zone.
 	IsReader func() bool
-	// Ask sends the digest of this VM's blocks to another VM, which sends its own blocks if their digest differs. It must not
-	// block.
-	Ask func(digest uint64)
+	// Ask sends the digest of this VM's blocks to another VM, which sends its own blocks if their digest differs. ReceiveBlocks
+	// adopts them.
+	Ask func(ctx context.Context, digest uint64)
 	Log zerolog.Logger
 }
 
@@ -104,7 +105,7 @@
 func (l *List) askRegularly(ctx context.Context) {
 	periodic.Pause(ctx, firstAskDelay)
 	for ctx.Err() == nil {
-		l.Ask(l.Digest())
+		l.Ask(ctx, l.Digest())
 		periodic.Pause(ctx, askInterval+rand.N(askInterval/2))
 	}
 }
@@ -198,6 +199,9 @@
 
 // writeMissing writes blocks that the store lacks and removes those that have ended with an answer. It reports whether some are still missing.
 func (l *List) writeMissing(ctx context.Context) bool {
+	if l.Store == nil {
+		return false
+	}
 	missing, due := l.missing(time.Now())
 	for _, b := range due[:min(len(due), maxWrites)] {
 		err := l.write(ctx, b)
--- a/internal/blocklist/blocklist_test.go
+++ b/internal/blocklist/blocklist_test.go
@@ -68,7 +68,7 @@
 	}
 	v.list = blocklist.New(blocklist.Options{
 		Store: v.client, Registry: v.registry, IsReader: func() bool { return isFirst }, Log: zerolog.Nop(),
-		Ask: func(digest uint64) {
+		Ask: func(_ context.Context, digest uint64) {
 			if before != nil {
 				v.list.ReceiveBlocks(before.list.BlocksBesides(digest))
 			}
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -10,6 +10,7 @@
 
 	pb "github.com/primroseladder/primroseladder/api/primrosev1"
 	"github.com/primroseladder/primroseladder/internal/admission"
+	"github.com/primroseladder/primroseladder/internal/blocklist"
 	"github.com/primroseladder/primroseladder/internal/caller"
 	"github.com/primroseladder/primroseladder/internal/entrypeer"
 	"github.com/primroseladder/primroseladder/internal/health"
@@ -53,7 +54,10 @@
 			func(c *entrypeer.Client) Forwarder { return c }, NewStopper,
 			func() *admission.Gate { return admission.NewGate(s.MaxRequests) },
 			func() *poison.Registry { return poison.NewRegistry(poison.DefaultWindow) },
-			NewOpinionSender, NewAnnouncer,
+			NewOpinionSender, NewAnnouncer, entrypeer.NewBlockList,
+			func(h *snapshot.Holder, peers *entrypeer.Client) *entrypeer.BlockAsker {
+				return entrypeer.NewBlockAsker(s.VM, s.Region, h, peers)
+			},
 			func(
 				o *OpinionSender, a *Announcer, h *snapshot.Holder, g *admission.Gate, p *poison.Registry, peers *entrypeer.Client,
 			) *run.Runner {
@@ -73,13 +77,14 @@
 // registerHooks adds the background work and the listeners to the lifecycle of the application.
 func registerHooks(
 	lc fx.Lifecycle, s *Settings, f *Follower, server *Server, holder *snapshot.Holder, memory *once.Memory,
-	crashes *poison.Registry, runner *run.Runner, opinions *OpinionSender, stopper *Stopper,
+	crashes *poison.Registry, blocks *blocklist.List, runner *run.Runner, opinions *OpinionSender, stopper *Stopper,
 ) {
 	listen.Background(lc, f.Run)
 	listen.Background(lc, runner.WatchHealth)
 	listen.Background(lc, runner.WatchDraining)
 	listen.Background(lc, probe.New(runner.ProbeTargets).Run)
 	listen.Background(lc, opinions.Run)
+	listen.Background(lc, blocks.Run)
 	listen.Background(lc, func(ctx context.Context) { expirePeriodically(ctx, memory, crashes) })
 	listen.HTTP(lc, s.OperatorListen, operator.NewRouter(func() any {
 		current := holder.Get()
@@ -91,7 +96,7 @@
 	}))
 	grpcServer := grpc.NewServer(grpc.MaxRecvMsgSize(entrypeer.MaxMessageBytes))
 	pb.RegisterEntryServer(grpcServer, entrypeer.NewServer(server, memory))
-	pb.RegisterPoisonServer(grpcServer, entrypeer.NewCrashServer(crashes))
+	pb.RegisterPoisonServer(grpcServer, entrypeer.NewCrashServer(crashes, blocks))
 	listen.GRPC(lc, s.PeerListen, grpcServer)
 	// Stop hooks run in reverse order: leave, then close the callers' listener, then hand over the memory.
 	lc.Append(fx.StopHook(stopper.HandOver))
--- a/internal/entrypeer/crash.go
+++ b/internal/entrypeer/crash.go
@@ -6,6 +6,7 @@
 	"time"
 
 	pb "github.com/primroseladder/primroseladder/api/primrosev1"
+	"github.com/primroseladder/primroseladder/internal/blocklist"
 	"github.com/primroseladder/primroseladder/internal/placement"
 	"github.com/primroseladder/primroseladder/internal/poison"
 	"github.com/primroseladder/primroseladder/internal/snapshot"
@@ -16,7 +17,7 @@
 
 // CrashNotifier sends notes on crashes of backend servers to the entries of a service's groups in all regions. It waits for
 // their acknowledgements, so that the caller cannot repeat its request before the note has arrived. Notes that do not arrive
-// in time are lost; an entry that missed a note knows of the crash only if it observed the crash itself.
+// in time are lost; an entry that missed them learns of the block by its next questions to other entries (BlockAsker).
 type CrashNotifier struct {
 	self   string
 	holder *snapshot.Holder
@@ -67,10 +68,13 @@
 type CrashServer struct {
 	pb.UnimplementedPoisonServer
 	registry *poison.Registry
+	blocks   *blocklist.List
 }
 
-// NewCrashServer returns the gRPC service that records the notes in r.
-func NewCrashServer(r *poison.Registry) *CrashServer { return &CrashServer{registry: r} }
+// NewCrashServer returns the gRPC service that records the notes in r and passes on the blocks of l.
+func NewCrashServer(r *poison.Registry, l *blocklist.List) *CrashServer {
+	return &CrashServer{registry: r, blocks: l}
+}
 
 // NoteCrash implements the gRPC service. A note without a backend server reports that the request was answered.
 func (s *CrashServer) NoteCrash(_ context.Context, note *pb.CrashNote) (*pb.CrashAck, error) {
--- a/internal/vmpeer/endpoint.go
+++ b/internal/vmpeer/endpoint.go
@@ -316,7 +316,7 @@
 const otherRegionsPeriod = 4
 
 // AskBlocks asks a registered VM, mostly one of the local region, for its blocks. digest is that of the blocks of this VM.
-func (ep *Endpoint) AskBlocks(digest uint64) {
+func (ep *Endpoint) AskBlocks(_ context.Context, digest uint64) {
 	all := ep.fleet.RegisteredPeers()
 	region := ep.self().Region
 	local := slices.DeleteFunc(slices.Clone(all), func(m membership.Member) bool { return m.Region != region })
