--- a/internal/soak/missedremovals.go
+++ b/internal/soak/missedremovals.go
@@ -41,7 +41,7 @@
 	affected := slices.DeleteFunc(slices.Clone(d.vms), func(v *vm) bool { return zoneRegions[v.settings.Zone] != "north" })
 	draw.Shuffle(len(affected), func(i, j int) { affected[i], affected[j] = affected[j], affected[i] })
 	frozen, killed := affected[:(len(affected)+2)/3], affected[(len(affected)+2)/3:]
-	if err := d.startServer(lookupsService, zoneNames[0]); err != nil {
+	if err := d.startServer(lookupsService, frozen[0].settings.Zone); err != nil {
 		return err
 	}
 	d.options.Logf("%d VMs frozen, %d killed while a backend server is removed", len(frozen), len(killed))
@@ -93,10 +93,7 @@
 	}
 	wake := time.After(freezeTime)
 	time.Sleep(removalDelay)
-	near := slices.DeleteFunc(d.listServers(), func(b *backendServer) bool {
-		return b.Service != lookupsService || b.Zone != frozen[0].settings.Zone
-	})
-	removed := near[draw.IntN(len(near))]
+	removed := d.pickLookups(frozen[0].settings.Zone, draw)
 	if d.unlist(removed) {
 		d.store.Delete(standin.ServerKey(removed.ID))
 		removed.drainStored.Store(time.Now().UnixNano())
@@ -120,6 +117,16 @@
 	return removed, nil
 }
 
+// pickLookups returns a random backend server of the lookups, one in the given zone if there is one.
+func (d *deployment) pickLookups(zone string, draw *rand.Rand) *backendServer {
+	all := slices.DeleteFunc(d.listServers(), func(b *backendServer) bool { return b.Service != lookupsService })
+	near := slices.DeleteFunc(slices.Clone(all), func(b *backendServer) bool { return b.Zone != zone })
+	if len(near) > 0 {
+		all = near
+	}
+	return all[draw.IntN(len(all))]
+}
+
 // cutFromStore cuts the VM off from the store for a time, so that it learns what it has missed from other VMs.
 func (v *vm) cutFromStore(duration time.Duration) {
 	defer v.storeDisturbances.begin(false)()
