backend: heads without end share the memory for answers, and bodies are not joined

A single answer is limited (header blocks of 64 KiB, a body of 16 MiB), and bodies draw on a common budget. Not limited over all connections were the heads (twice 64 KiB while a line grows), the joined copy of a body beside its parts, and everything in primrose-entry, whose pools had no budget.

Class: a limit for each of many that nothing limits together. Heads draw on the budget from their ninth KiB on, bodies stay in the parts in which they were read, and all services of an entry share 128 MiB.

--- a/internal/backend/answer_test.go
+++ b/internal/backend/answer_test.go
@@ -114,7 +114,7 @@
 			}
 			c.Assert(err, qt.IsNil)
 			c.Check(answer.Status, qt.Equals, test.status)
-			c.Check(string(answer.Body), qt.Equals, test.body)
+			c.Check(string(answer.Body.Bytes()), qt.Equals, test.body)
 		})
 	}
 }
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -43,7 +43,7 @@
 type Answer struct {
 	Status int
 	Header http.Header
-	Body   []byte
+	Body   Body
 	// MayBelongToAnother is set if the answer carries no request ID and is not the first one on its connection: it may be a
 	// copy of an earlier answer.
 	MayBelongToAnother bool
@@ -87,6 +87,11 @@
 	bytesWritten int
 	// readBudget is the number of bytes that may still be read for the current answer.
 	readBudget int64
+	// isReadingHeader is set while a header is read, and headerBytes counts what was read for it.
+	isReadingHeader bool
+	headerBytes     int64
+	// headerMemory is the memory that the current header has taken from Options.Memory.
+	headerMemory int64
 }
 
 func newConn(c net.Conn, o *Options) *conn {
@@ -103,9 +108,34 @@
 	}
 	n, err := c.Conn.Read(p[:min(int64(len(p)), c.readBudget)])
 	c.readBudget -= int64(n)
+	if c.isReadingHeader && !c.takeHeaderMemory(int64(n)) {
+		return 0, ErrNoMemory
+	}
 	return n, err
 }
 
+// headerMemoryFactor is the memory that a header takes as a multiple of its size: the line that is being read grows by copying.
+const headerMemoryFactor = 2
+
+// takeHeaderMemory takes the memory for n more bytes of a header, except for as many as the read buffer holds.
+func (c *conn) takeHeaderMemory(n int64) bool {
+	c.headerBytes += n
+	more := headerMemoryFactor*(c.headerBytes-bufferBytes) - c.headerMemory
+	if more <= 0 {
+		return true
+	}
+	if !c.options.Memory.take(more) {
+		return false
+	}
+	c.headerMemory += more
+	return true
+}
+
+func (c *conn) releaseHeaderMemory() {
+	c.options.Memory.giveBack(c.headerMemory)
+	c.headerBytes, c.headerMemory = 0, 0
+}
+
 // Write writes to the connection and counts the bytes written.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
@@ -189,6 +219,7 @@
 
 // readNextAnswer reads one whole answer. It returns a nil answer and a nil error if it skipped an answer to another request.
 func (c *conn) readNextAnswer(r *Request) (*Answer, bool, error) {
+	defer c.releaseHeaderMemory()
 	resp, err := c.readHeader(r)
 	if err != nil {
 		return nil, false, err
@@ -244,8 +275,11 @@
 
 // readHeader reads the header of the final answer and skips 1xx answers.
 func (c *conn) readHeader(r *Request) (*http.Response, error) {
+	c.isReadingHeader = true
+	defer func() { c.isReadingHeader = false }()
 	for range maxInformational {
 		c.readBudget = maxHeaderBytes
+		c.releaseHeaderMemory()
 		// http.ReadResponse uses only the method, to determine whether a body follows.
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
@@ -282,12 +316,12 @@
 
 // readBody reads the whole body, up to limit bytes. It takes the memory for all parts but the first from the budget while
 // it reads, so that endless bodies of many backend servers do not exhaust the memory of the process.
-func readBody(resp *http.Response, limit int64, budget *ByteBudget) ([]byte, error) {
+func readBody(resp *http.Response, limit int64, budget *ByteBudget) (Body, error) {
 	size := int64(firstChunkBytes)
 	if resp.ContentLength >= 0 {
 		size = min(resp.ContentLength+1, bodyChunkBytes)
 	}
-	var full [][]byte
+	var full Body
 	defer func() { budget.giveBack(int64(len(full)) * bodyChunkBytes) }()
 	chunk, total := make([]byte, 0, size), int64(0)
 	for {
@@ -304,10 +338,8 @@
 		switch {
 		case total > limit:
 			return nil, ErrAnswerTooLarge
-		case errors.Is(err, io.EOF) && len(full) == 0:
-			return chunk, nil
 		case errors.Is(err, io.EOF):
-			return slices.Concat(append(full, chunk)...), nil
+			return append(slices.Clip(full), chunk), nil
 		case errors.Is(err, io.ErrUnexpectedEOF):
 			return nil, ErrAnswerTruncated
 		case err != nil:
--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -8,8 +8,10 @@
 	"net/http"
 	"runtime"
 	"runtime/metrics"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -132,6 +134,73 @@
 	c.Check(options.Memory.left.Load(), qt.Equals, int64(memory))
 }
 
+// TestEndlessHeadsShareTheMemory lets many backend servers send a head without end at the same time, most of what a head may have at
+// once and then byte by byte. It guards against the heads of all connections together exhausting the memory of a small VM, which ends
+// the requests of all its callers (LOST).
+func TestEndlessHeadsShareTheMemory(t *testing.T) {
+	const (
+		requests = 400
+		memory   = 4 << 20
+		// freeBytes is what a connection may use besides: its buffers, and as much of a head again.
+		freeBytes = 2*bufferBytes + 2*bufferBytes
+	)
+	const sentAtOnce = 60 << 10
+	tests := []struct{ name, start, piece string }{
+		{"header value", "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", sentAtOnce), "x"},
+		{"header lines", "HTTP/1.1 200 OK\r\n" + strings.Repeat("Some-Header: some value\r\n", sentAtOnce/25), "A: b\r\n"},
+		{"head of an informational answer", "HTTP/1.1 103 Early Hints\r\n" + strings.Repeat("Some-Header: some value\r\n", sentAtOnce/25), "A: b\r\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			options := newLenientPool("").options
+			options.MaxConns, options.Memory = requests, NewByteBudget(memory)
+			pool := NewPoolWithOptions(newEndlessPeer(t, test.start, test.piece, 100*time.Millisecond), options)
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			before, most := heapBytes(), uint64(0)
+			var wait sync.WaitGroup
+			var turnedAway atomic.Int32
+			for range requests {
+				wait.Go(func() {
+					_, err := pool.Do(ctx, newRequest("own", http.MethodPost, "in"))
+					c.Check(MayHaveStarted(err), qt.IsTrue, qt.Commentf("%v", err))
+					if errors.Is(err, ErrNoMemory) {
+						turnedAway.Add(1)
+					}
+				})
+			}
+			for range 15 {
+				time.Sleep(100 * time.Millisecond)
+				most = max(most, heapBytes())
+			}
+			wait.Wait()
+			grown := int64(most - min(before, most))
+			t.Logf("heap grew by %d KiB, %d of %d answers exceeded the memory", grown>>10, turnedAway.Load(), requests)
+			c.Check(turnedAway.Load() > 0, qt.IsTrue)
+			c.Check(grown < memory+requests*freeBytes, qt.IsTrue)
+			c.Check(options.Memory.left.Load(), qt.Equals, int64(memory))
+		})
+	}
+}
+
+// TestLargeBodyIsNotCopied guards against a large body taking its memory twice, once in the parts in which it is read, which are
+// limited over all answers, and once joined.
+func TestLargeBodyIsNotCopied(t *testing.T) {
+	c := qt.New(t)
+	const size = 3 << 20
+	pool := newLenientPool(newEndlessPeer(t, "HTTP/1.1 200 OK\r\n"+ownID+"Content-Length: "+strconv.Itoa(size)+"\r\n\r\n", strings.Repeat("x", 1<<20), 0))
+	r := newRequest("own", http.MethodPost, "in")
+	r.MaxAnswerBytes = size
+	answer, err := pool.Do(t.Context(), r)
+	c.Assert(err, qt.IsNil)
+	c.Check(answer.Body.Len(), qt.Equals, size)
+	c.Check(len(answer.Body.Bytes()), qt.Equals, size)
+	for _, part := range answer.Body {
+		c.Check(cap(part) <= bodyChunkBytes, qt.IsTrue)
+	}
+}
+
 // heapBytes returns the size of the objects that a garbage collection finds in use. Garbage that arises meanwhile does not
 // count.
 func heapBytes() uint64 {
--- a/internal/backend/options_test.go
+++ b/internal/backend/options_test.go
@@ -27,7 +27,7 @@
 		pool := newLenientPool(peer.address())
 		answer, err := pool.Do(context.Background(), newRequest("own", http.MethodPost, "in"))
 		c.Assert(err, qt.IsNil)
-		c.Check(string(answer.Body), qt.Equals, "body")
+		c.Check(string(answer.Body.Bytes()), qt.Equals, "body")
 		c.Check(pool.OpenConns(), qt.Equals, 0)
 	})
 	t.Run("reset", func(t *testing.T) {
@@ -92,7 +92,7 @@
 				return
 			}
 			c.Assert(err, qt.IsNil)
-			c.Check(string(answer.Body), qt.Equals, "own body")
+			c.Check(string(answer.Body.Bytes()), qt.Equals, "own body")
 		})
 	}
 }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -35,7 +35,7 @@
 	// AllowUnframed accepts answers that have neither a Content-Length nor chunked encoding and end with a clean close of
 	// the connection.
 	AllowUnframed bool
-	// Memory limits the memory for the answers that are being received. Pools may share it; nil means no limit.
+	// Memory limits the memory for the answers that are being received, heads and bodies. Pools may share it; nil means no limit.
 	Memory *ByteBudget
 	// SkipMismatched skips answers that carry the ID of another request and waits for the right one.
 	SkipMismatched bool
@@ -71,9 +71,14 @@
 
 // NewPool returns a pool of at most maxConns connections to address, with default options.
 func NewPool(address string, maxConns int) *Pool {
-	return NewPoolWithOptions(address, Options{
+	return NewPoolWithOptions(address, DefaultOptions(maxConns))
+}
+
+// DefaultOptions returns the options of NewPool. They set no limit for the memory of answers.
+func DefaultOptions(maxConns int) Options {
+	return Options{
 		MaxConns: maxConns, RequestIDHeader: requestIDHeader, MaxIdle: defaultMaxIdle, Dialer: &net.Dialer{Timeout: dialTimeout},
-	})
+	}
 }
 
 // NewPoolWithOptions returns a pool of connections to address.
--- a/internal/backend/reuse_test.go
+++ b/internal/backend/reuse_test.go
@@ -125,8 +125,8 @@
 	defer cancel()
 	body := strings.Repeat("b", rapid.IntRange(0, 40).Draw(r, "body"))
 	answer, err := pool.Do(ctx, newRequest(id, http.MethodPost, body))
-	if err == nil && string(answer.Body) != "answer to "+id+body {
-		r.Fatalf("%s got %q", id, answer.Body)
+	if err == nil && string(answer.Body.Bytes()) != "answer to "+id+body {
+		r.Fatalf("%s got %q", id, answer.Body.Bytes())
 	}
 	return err
 }
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -148,7 +148,7 @@
 		res.completeFailed()
 		return a.afterFailureAnswer()
 	}
-	res.complete(evidence.Success, len(a.request.Body)+len(answer.Body))
+	res.complete(evidence.Success, len(a.request.Body)+answer.Body.Len())
 	return stepFinish
 }
 
--- a/internal/dispatch/size_test.go
+++ b/internal/dispatch/size_test.go
@@ -21,7 +21,7 @@
 type instantPool struct{}
 
 func (instantPool) Do(_ context.Context, r *backend.Request) (*backend.Answer, error) {
-	return &backend.Answer{Status: http.StatusOK, Body: make([]byte, 2048), Header: http.Header{"X-Signature": {"s"}, "X-Id": {r.ID}}}, nil
+	return &backend.Answer{Status: http.StatusOK, Body: backend.Body{make([]byte, 2048)}, Header: http.Header{"X-Signature": {"s"}, "X-Id": {r.ID}}}, nil
 }
 func (instantPool) HasIdle() bool { return true }
 func (instantPool) Close()        {}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -200,10 +200,10 @@
 		out["Content-Type"] = nil
 	}
 	if r.Method != http.MethodHead {
-		out.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+		out.Set("Content-Length", strconv.Itoa(answer.Body.Len()))
 	}
 	w.WriteHeader(answer.Status)
-	if _, err := w.Write(answer.Body); err != nil {
+	if _, err := answer.Body.WriteTo(w); err != nil {
 		logevent.RequestFailed.Log(h.log).Str("request", r.ID).Str("reason", "the answer could not be written").Err(err).Send()
 	}
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -76,7 +76,7 @@
 // TestStatusOfEachOutcome checks the status, body and Retry-After of each outcome: 503 is sent only for requests that have
 // not run.
 func TestStatusOfEachOutcome(t *testing.T) {
-	answered := &backend.Answer{Status: 418, Header: http.Header{"X-Signature": {"s"}}, Body: []byte("body")}
+	answered := &backend.Answer{Status: 418, Header: http.Header{"X-Signature": {"s"}}, Body: backend.Body{[]byte("body")}}
 	tests := []struct {
 		result     dispatch.Result
 		status     int
--- a/internal/run/attempt.go
+++ b/internal/run/attempt.go
@@ -77,9 +77,9 @@
 	failed := answer.Status >= http.StatusInternalServerError
 	healthAttempt.End(resultOfAnswer(failed))
 	s.recordServed(chosen, time.Since(begin), !failed)
-	s.chargeSpill(chosen, len(req.Body)+len(answer.Body))
+	s.chargeSpill(chosen, len(req.Body)+answer.Body.Len())
 	return attemptAnswered, &request.Response{
-		Outcome: outcome.Done, Status: answer.Status, Header: answer.Header, Body: answer.Body, Backend: chosen.vm.Name,
+		Outcome: outcome.Done, Status: answer.Status, Header: answer.Header, Body: answer.Body.Bytes(), Backend: chosen.vm.Name,
 	}
 }
 
--- a/internal/run/runner.go
+++ b/internal/run/runner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/primroseladder/primroseladder/internal/admission"
+	"github.com/primroseladder/primroseladder/internal/backend"
 	"github.com/primroseladder/primroseladder/internal/catalogue"
 	"github.com/primroseladder/primroseladder/internal/fleet"
 	"github.com/primroseladder/primroseladder/internal/outcome"
@@ -21,6 +22,9 @@
 	ShareCleared(service string, f poison.Fingerprint)
 }
 
+// answerMemoryBytes is the memory for the answers that an entry receives at the same time.
+const answerMemoryBytes = 128 << 20
+
 // Runner runs the requests of all services on their backend servers. It is safe for concurrent use.
 type Runner struct {
 	region      string
@@ -29,6 +33,8 @@
 	gate        *admission.Gate
 	poison      *poison.Registry
 	crashSharer CrashSharer
+	// answerMemory limits the memory for the answers that are being received by all services.
+	answerMemory *backend.ByteBudget
 
 	mu       sync.RWMutex
 	services map[string]*Service
@@ -42,7 +48,7 @@
 ) *Runner {
 	r := &Runner{
 		region: region, health: options, holder: holder, gate: gate, poison: poisonRegistry, crashSharer: crashSharer,
-		services: map[string]*Service{},
+		answerMemory: backend.NewByteBudget(answerMemoryBytes), services: map[string]*Service{},
 	}
 	holder.OnChange(r.adopt)
 	return r
@@ -76,7 +82,7 @@
 	if found = r.services[e.Service]; found != nil {
 		return found
 	}
-	created := newService(r.region, e, r.health)
+	created := newService(r.region, e, r.health, r.answerMemory)
 	created.update(e, r.holder.Get().View)
 	r.services[e.Service] = created
 	return created
--- a/internal/run/service.go
+++ b/internal/run/service.go
@@ -23,6 +23,8 @@
 	board  *health.Board
 	// announceDraining reports to all VMs that a backend server accepts no new work. It may be nil.
 	announceDraining func(backend fleet.VM)
+	// answerMemory limits the memory for the answers that are being received. All services share it.
+	answerMemory *backend.ByteBudget
 
 	mu       sync.Mutex
 	entry    *catalogue.Entry
@@ -51,9 +53,9 @@
 	consecutiveSheds int
 }
 
-func newService(region string, e *catalogue.Entry, options *HealthOptions) *Service {
+func newService(region string, e *catalogue.Entry, options *HealthOptions, answerMemory *backend.ByteBudget) *Service {
 	s := &Service{
-		region: region, entry: e,
+		region: region, entry: e, answerMemory: answerMemory,
 		queue:    admission.NewQueue[*ticket](e.Limits.QueueLength),
 		estimate: admission.NewEstimator(),
 		retries:  admission.NewRetryBudget(e.Limits.RetryPercent),
@@ -102,7 +104,9 @@
 			return old
 		}
 	}
-	return &server{vm: vm, concurrencyLimit: float64(s.maxInFlightPerServer), pool: backend.NewPool(vm.Address, connections)}
+	options := backend.DefaultOptions(connections)
+	options.Memory = s.answerMemory
+	return &server{vm: vm, concurrencyLimit: float64(s.maxInFlightPerServer), pool: backend.NewPoolWithOptions(vm.Address, options)}
 }
 
 // computeFairShare returns the value of fairShare, at least 1.
