client, vmpeer, probe, store clients: bounds for responses without end

Without a limit were an answer in the client library, the changes that a VM fetches from another one (also compressed, so that a few bytes become many), and the platform's VM list; net/http's limit of 10 MB held for the headers of probes, of the store clients and of the client library.

Each has its own limit now; an answer that exceeds Settings.MaxAnswerBytes of the client library counts as lost, so its request may have run.

--- a/client/client.go
+++ b/client/client.go
@@ -35,6 +35,9 @@
 	Region string
 	// MaxSends bounds the sends of one request. Default 4.
 	MaxSends int
+	// MaxAnswerBytes is the maximum size of an answer's body in bytes. Default 64 MiB. A larger answer counts as none, and its
+	// request as one that may have run.
+	MaxAnswerBytes int64
 	// RetryRefused has a refused request sent again after the retry delay that the refusal states, if it states one.
 	RetryRefused bool
 }
@@ -74,6 +77,14 @@
 // defaultMaxSends replaces a Settings.MaxSends of 0.
 const defaultMaxSends = 4
 
+const (
+	// defaultMaxAnswerBytes replaces a Settings.MaxAnswerBytes of 0.
+	defaultMaxAnswerBytes = 64 << 20
+	// maxAddressesBytes limits a keeper's list of VMs to use, and maxHeaderBytes the header of every response.
+	maxAddressesBytes = 1 << 20
+	maxHeaderBytes    = 128 << 10
+)
+
 // Client sends requests. It is safe for concurrent use.
 type Client struct {
 	settings Settings
@@ -95,7 +106,10 @@
 	if s.MaxSends == 0 {
 		s.MaxSends = defaultMaxSends
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
+	if s.MaxAnswerBytes == 0 {
+		s.MaxAnswerBytes = defaultMaxAnswerBytes
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
 	// net/http would follow a redirect with the send number of the previous send.
 	noRedirects := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{
@@ -209,10 +223,13 @@
 		return nil, true, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.settings.MaxAnswerBytes+1))
 	if err != nil {
 		return nil, true, err
 	}
+	if int64(len(body)) > c.settings.MaxAnswerBytes {
+		return nil, true, fmt.Errorf("the answer from %s exceeds %d bytes", address, c.settings.MaxAnswerBytes)
+	}
 	return &Result{
 		Outcome: readOutcome(resp.Header), Reason: resp.Header.Get(header.Reason), Status: resp.StatusCode,
 		Header: resp.Header, Body: body, Remembered: resp.Header.Get(header.Remembered) == "true",
@@ -368,7 +385,7 @@
 		Addresses []string `json:"addresses"`
 		KeepMS    int64    `json:"keep_ms"`
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&reply); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAddressesBytes)).Decode(&reply); err != nil {
 		return addressList{}, fmt.Errorf("decode addresses from keeper %s: %w", keeper, err)
 	}
 	return addressList{reply.Addresses, requestedAt.Add(time.Duration(reply.KeepMS) * time.Millisecond)}, nil
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -29,6 +29,8 @@
 	timeout = time.Second
 	// maxConcurrent is the maximum number of concurrent probes.
 	maxConcurrent = 8
+	// maxHeaderBytes limits the header of an answer. Its body is not read.
+	maxHeaderBytes = 16 << 10
 )
 
 var probeCount = expvar.NewInt("probes")
@@ -71,7 +73,9 @@
 
 // New returns a prober. It calls targets for the current targets of this VM before each scan.
 func New(targets func() []Target) *Prober {
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: timeout}).DialContext}
+	transport := &http.Transport{
+		DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: timeout}).DialContext, MaxResponseHeaderBytes: maxHeaderBytes,
+	}
 	return &Prober{
 		targets: targets, lastProbe: map[targetKey]time.Time{}, slots: make(chan struct{}, maxConcurrent),
 		client: &http.Client{Transport: transport, Timeout: timeout},
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -22,6 +22,8 @@
 	callTimeout = 3 * time.Second
 	// maxResponseBytes limits the response to a read of several keys.
 	maxResponseBytes = 32 << 20
+	// maxHeaderBytes limits the header of a response.
+	maxHeaderBytes = 16 << 10
 )
 
 // Client implements Store over HTTP. It counts its calls and limits their rate.
@@ -36,7 +38,7 @@
 func NewClient(baseURL string) *Client {
 	return &Client{
 		baseURL: strings.TrimSuffix(baseURL, "/"),
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}},
+		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}},
 		reads:   newLimiter(readsPerSecond, readBurst),
 		writes:  newLimiter(writesPerSecond, writeBurst),
 	}
--- a/internal/vmlist/vmlist.go
+++ b/internal/vmlist/vmlist.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -20,6 +21,9 @@
 	VMs   []fleet.VM `json:"vms"`
 }
 
+// maxListBytes limits the platform's response. At 120,000 backend servers it has about 25 MB.
+const maxListBytes = 64 << 20
+
 // Client reads the list over HTTP.
 type Client struct {
 	baseURL string
@@ -47,7 +51,7 @@
 		return nil, peererr.Wrap(fmt.Errorf("status %d", resp.StatusCode), "read VM list", c.baseURL)
 	}
 	var list List
-	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&list); err != nil {
 		return nil, peererr.Wrap(err, "read VM list", c.baseURL)
 	}
 	return &list, nil
--- a/internal/vmpeer/feed.go
+++ b/internal/vmpeer/feed.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -28,6 +29,10 @@
 	// fetchTimeout limits the fetch of large changes or of a full copy: a megabyte, from a VM that serves it to others at
 	// the same time.
 	fetchTimeout = 2 * time.Second
+	// maxCopyBytes limits the changes or the full copy that is fetched, after decompression.
+	maxCopyBytes = 64 << 20
+	// maxHeaderBytes limits the header of the response.
+	maxHeaderBytes = 16 << 10
 )
 
 // FeedHandler returns the handler that serves the changes of a copy of the store. The full copy and large changes are
@@ -84,6 +89,7 @@
 	dialer := &net.Dialer{Timeout: headerTimeout}
 	return &Fetcher{http: &http.Client{Transport: &http.Transport{
 		DisableKeepAlives: true, DialContext: dialer.DialContext, ResponseHeaderTimeout: headerTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}}
 }
 
@@ -113,5 +119,10 @@
 	if resp.StatusCode != http.StatusOK {
 		return out, fmt.Errorf("unexpected status %d", resp.StatusCode)
 	}
-	return out, json.NewDecoder(resp.Body).Decode(&out)
+	body := &io.LimitedReader{R: resp.Body, N: maxCopyBytes}
+	err = json.NewDecoder(body).Decode(&out)
+	if body.N <= 0 {
+		return mirror.Changes{}, fmt.Errorf("the changes exceed %d bytes", maxCopyBytes)
+	}
+	return out, err
 }
--- a/internal/vmpeer/feed_test.go
+++ b/internal/vmpeer/feed_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"testing"
 	"time"
 
@@ -103,3 +105,24 @@
 	})
 	c.Check(err, qt.IsNil)
 }
+
+// TestEndlessChangesAreNotKept guards against a VM that keeps what another VM sends without end, compressed or not, until it runs out
+// of memory.
+func TestEndlessChangesAreNotKept(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Encoding", "gzip")
+		compressor := gzip.NewWriter(w)
+		_, err := compressor.Write([]byte(`{"Entries":[{"Key":"`))
+		for piece := bytes.Repeat([]byte("x"), 1<<20); err == nil; {
+			_, err = compressor.Write(piece)
+		}
+	}))
+	defer server.Close()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := NewFetcher().Fetch(t.Context(), server.Listener.Addr().String(), kv.Position{})
+	runtime.ReadMemStats(&after)
+	qt.Check(t, err, qt.ErrorMatches, `.*the changes exceed 67108864 bytes.*`)
+	// A buffer that grows by doubling is allocated four times its size in all, and once more for the compressor of the server.
+	qt.Check(t, after.TotalAlloc-before.TotalAlloc < 5*maxCopyBytes, qt.IsTrue, qt.Commentf("%d MB", (after.TotalAlloc-before.TotalAlloc)>>20))
+}
