--- a/internal/keeper/listrelay_test.go
+++ b/internal/keeper/listrelay_test.go
@@ -120,3 +120,27 @@
 		c.Check(lagging.List().Backends, qt.DeepEquals, state.List().Backends)
 	}
 }
+
+// TestListRemovesWhatALaggingKeeperMissed guards against a keeper that keeps a removed backend server since the keeper that it compares
+// with was started after the removal, or was away at the time, and never had the list in between.
+func TestListRemovesWhatALaggingKeeperMissed(t *testing.T) {
+	vm := func(name string) fleet.VM {
+		return fleet.VM{Name: name, Role: fleet.RoleBackendServer, Service: "deposits", State: fleet.StateLive}
+	}
+	after := fleet.NewView(3, []fleet.VM{vm("b")})
+	for name, seen := range map[string][]*fleet.View{
+		"started after the removal":  {after},
+		"was away during the change": {fleet.NewView(1, nil), after},
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := NewState()
+			for _, v := range seen {
+				state.SetList(v)
+			}
+			lagging := NewState()
+			lagging.SetList(fleet.NewView(2, []fleet.VM{vm("a"), vm("b"), vm("c")}))
+			lagging.adoptList(state.listUpdateFrom(lagging.List().Index))
+			qt.Check(t, lagging.List().Backends, qt.DeepEquals, after.Backends)
+		})
+	}
+}
