vmpeer: VMs that start later know which backend servers have said that they leave

The questions that VMs ask each other about every 2 s carry a second digest, of the listed backend servers that have said so; the answer names them. Only listed servers are named, so VMs do not keep each other's memory of a server alive after its entry is gone.

--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -92,10 +92,12 @@
 }
 
 func newBlocks(
-	p *Platform, endpoint *vmpeer.Endpoint, f *membership.Fleet, crashes *poison.Registry, log zerolog.Logger,
+	p *Platform, endpoint *vmpeer.Endpoint, f *membership.Fleet, crashes *poison.Registry, d *dispatch.Dispatcher,
+	log zerolog.Logger,
 ) *blocklist.List {
 	return blocklist.New(blocklist.Options{
-		Store: p.Store, Registry: crashes, IsReader: func() bool { return f.ReaderRank() == 0 }, Ask: endpoint.AskBlocks, Log: log,
+		Store: p.Store, Registry: crashes, IsReader: func() bool { return f.ReaderRank() == 0 },
+		Ask: func(_ context.Context, digest uint64) { endpoint.AskNews(digest, d.LeavingDigest()) }, Log: log,
 	})
 }
 
--- a/internal/vmpeer/codec.go
+++ b/internal/vmpeer/codec.go
@@ -3,7 +3,8 @@
 // Within a zone the VMs send each other heartbeats, reports of silent VMs and requests for a heartbeat, and store readers
 // also send heartbeats to the relays of other zones. Evidence on backend servers stays within a region; other regions get only the health
 // transitions of backend servers. Crash reports, about requests that broke the connections of backend servers, go to all VMs.
-// Each VM regularly asks another one for the requests that it blocks. Datagrams are independent of each other and a later one repeats or replaces an earlier one, so the loss of one reduces
+// Each VM regularly asks another one for the requests that it blocks and for the backend servers
+// that have said that they are leaving. Datagrams are independent of each other and a later one repeats or replaces an earlier one, so the loss of one reduces
 // accuracy only. Datagrams that cannot be decoded are logged and dropped.
 package vmpeer
 
@@ -33,7 +34,7 @@
 	kindProbe            datagramKind = 6
 	kindHealthQuestion   datagramKind = 7
 	kindHealthAnswer     datagramKind = 8
-	kindBlockQuestion    datagramKind = 9
+	kindNewsQuestion     datagramKind = 9
 	kindBlockAnswer      datagramKind = 10
 )
 
@@ -221,16 +222,22 @@
 	return crash{fingerprint: poison.Fingerprint(binary.BigEndian.Uint64(body)), server: server}, err
 }
 
-// encodeBlockQuestion encodes a question for blocks. digest is that of the blocks of the VM that asks.
-func encodeBlockQuestion(digest uint64) []byte {
-	return binary.BigEndian.AppendUint64([]byte{byte(kindBlockQuestion)}, digest)
+// newsQuestion asks a VM for what the VM that asks may have missed. It holds the digests of what that one knows.
+type newsQuestion struct {
+	// blocks is the digest of the blocked requests, leaving that of the backend servers that have said that they are leaving.
+	blocks, leaving uint64
 }
 
-func decodeBlockQuestion(body []byte) (digest uint64, err error) {
-	if len(body) < 8 {
-		return 0, fmt.Errorf("decode block question: body of %d bytes is shorter than the minimum of 8", len(body))
+func encodeNewsQuestion(q newsQuestion) []byte {
+	out := binary.BigEndian.AppendUint64([]byte{byte(kindNewsQuestion)}, q.blocks)
+	return binary.BigEndian.AppendUint64(out, q.leaving)
+}
+
+func decodeNewsQuestion(body []byte) (newsQuestion, error) {
+	if len(body) < 16 {
+		return newsQuestion{}, fmt.Errorf("decode news question: body of %d bytes is shorter than the minimum of 16", len(body))
 	}
-	return binary.BigEndian.Uint64(body), nil
+	return newsQuestion{blocks: binary.BigEndian.Uint64(body), leaving: binary.BigEndian.Uint64(body[8:])}, nil
 }
 
 const (
--- a/internal/vmpeer/codec_test.go
+++ b/internal/vmpeer/codec_test.go
@@ -49,9 +49,10 @@
 
 // TestBlocksRoundTrip also checks that the answer with the most blocks fits into the receive buffer.
 func TestBlocksRoundTrip(t *testing.T) {
-	digest, err := decodeBlockQuestion(encodeBlockQuestion(0xfedcba9876543210)[1:])
+	question := newsQuestion{blocks: 0xfedcba9876543210, leaving: 1}
+	gotQuestion, err := decodeNewsQuestion(encodeNewsQuestion(question)[1:])
 	qt.Assert(t, err, qt.IsNil)
-	qt.Check(t, digest, qt.Equals, uint64(0xfedcba9876543210))
+	qt.Check(t, gotQuestion, qt.Equals, question)
 	blocks := []poison.Block{{Fingerprint: 0xfedcba9876543210, Remaining: 9 * time.Minute}, {Fingerprint: 1, Remaining: time.Millisecond, IsAnswered: true}}
 	got, err := decodeBlockAnswer(encodeBlockAnswer(blocks)[1:])
 	qt.Assert(t, err, qt.IsNil)
@@ -86,7 +87,7 @@
 			t.Fatalf("decoded the unknown outcome %d", e.Outcome)
 		}
 		_, _ = decodeCrash(body)
-		_, _ = decodeBlockQuestion(body)
+		_, _ = decodeNewsQuestion(body)
 		if blocks, err := decodeBlockAnswer(body); err == nil && len(blocks)*blockBytes != len(body) {
 			t.Fatalf("decoded %d blocks from %d bytes", len(blocks), len(body))
 		}
--- a/internal/vmpeer/endpoint.go
+++ b/internal/vmpeer/endpoint.go
@@ -44,6 +44,8 @@
 	ReceiveCrash(f poison.Fingerprint, server string)
 	// BlocksBesides returns the blocks of this VM if their digest differs from the given one.
 	BlocksBesides(digest uint64) []poison.Block
+	// LeavingBesides returns the backend servers that have said that they are leaving if their digest differs from the given one.
+	LeavingBesides(digest uint64) []dispatch.Evidence
 	// ReceiveBlocks is called with the answer to a question for blocks.
 	ReceiveBlocks(blocks []poison.Block)
 	// KnownHealth returns what this VM knows of the health of a service's backend servers.
@@ -190,10 +192,11 @@
 			to.ReceiveCrash(c.fingerprint, c.server)
 		}
 		return err
-	case kindBlockQuestion:
-		digest, err := decodeBlockQuestion(body)
+	case kindNewsQuestion:
+		question, err := decodeNewsQuestion(body)
 		if err == nil {
-			ep.sendBlocks(from.String(), to.BlocksBesides(digest))
+			ep.sendBlocks(from.String(), to.BlocksBesides(question.blocks))
+			ep.sendLeaving(from.String(), to.LeavingBesides(question.leaving))
 		}
 		return err
 	case kindBlockAnswer:
@@ -312,11 +315,12 @@
 	}
 }
 
-// otherRegionsPeriod is how many questions for blocks on average include one to a VM of any region.
+// otherRegionsPeriod is how many questions for news on average include one to a VM of any region.
 const otherRegionsPeriod = 4
 
-// AskBlocks asks a registered VM, mostly one of the local region, for its blocks. digest is that of the blocks of this VM.
-func (ep *Endpoint) AskBlocks(_ context.Context, digest uint64) {
+// AskNews asks a registered VM, mostly one of the local region, for what this VM may have missed. The digests are those of the blocks
+// and of the leaving backend servers that this VM knows.
+func (ep *Endpoint) AskNews(blocks, leaving uint64) {
 	all := ep.fleet.RegisteredPeers()
 	region := ep.self().Region
 	local := slices.DeleteFunc(slices.Clone(all), func(m membership.Member) bool { return m.Region != region })
@@ -324,7 +328,7 @@
 		all = local
 	}
 	if len(all) > 0 {
-		ep.send(all[rand.IntN(len(all))].PeerAddress, encodeBlockQuestion(digest))
+		ep.send(all[rand.IntN(len(all))].PeerAddress, encodeNewsQuestion(newsQuestion{blocks: blocks, leaving: leaving}))
 	}
 }
 
@@ -337,6 +341,17 @@
 	ep.send(address, encodeBlockAnswer(blocks[:min(len(blocks), maxBlocksSent)]))
 }
 
+// maxLeavingSent is how many leaving backend servers an answer names.
+const maxLeavingSent = 32
+
+// sendLeaving tells a VM of leaving backend servers, chosen at random if there are many.
+func (ep *Endpoint) sendLeaving(address string, leaving []dispatch.Evidence) {
+	rand.Shuffle(len(leaving), func(i, j int) { leaving[i], leaving[j] = leaving[j], leaving[i] })
+	for _, e := range leaving[:min(len(leaving), maxLeavingSent)] {
+		ep.send(address, encodeHealthTransition(e))
+	}
+}
+
 // replyToHeartbeat answers a heartbeat of the VM m with one of this VM if m has no copy of the store yet and this VM has
 // one. In a large zone, whose VMs do not all receive each other's regular heartbeats, it also answers if m was unknown or
 // silent before (isNew), whether or not either has a copy. It then first sends m a silence report about m itself, which
--- a/internal/vmpeer/subscription_test.go
+++ b/internal/vmpeer/subscription_test.go
@@ -20,6 +20,7 @@
 func (noReceiver) ReceiveCrash(poison.Fingerprint, string)       {}
 func (noReceiver) BlocksBesides(uint64) []poison.Block           { return nil }
 func (noReceiver) ReceiveBlocks([]poison.Block)                  {}
+func (noReceiver) LeavingBesides(uint64) []dispatch.Evidence     { return nil }
 func (noReceiver) KnownHealth(string) []dispatch.ServerHealth    { return nil }
 func (noReceiver) ReceiveHealth(string, []dispatch.ServerHealth) {}
 
--- a/internal/vmpeer/zone_test.go
+++ b/internal/vmpeer/zone_test.go
@@ -118,6 +118,7 @@
 
 func (discardReceiver) BlocksBesides(uint64) []poison.Block        { return nil }
 func (discardReceiver) ReceiveBlocks([]poison.Block)               {}
+func (discardReceiver) LeavingBesides(uint64) []dispatch.Evidence  { return nil }
 func (discardReceiver) KnownHealth(string) []dispatch.ServerHealth { return nil }
 
 func (discardReceiver) ReceiveHealth(string, []dispatch.ServerHealth) {}
