gateway tests: free ports stay free until the VM listens

The test closes its listener before the VM listens, and a connection of any program from 127.0.0.1 may take the port in between. The tests now use a loopback address of their process alone, from which no connection is opened, and hand out each port once. The seen failure was not provoked again; its cause is the order of the calls, and the same check runs as before. The package comment of mirror is split into paragraphs.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -9,7 +9,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -54,12 +56,24 @@
 
 func (codec) IsNewer(a, b kv.Item) bool { return string(a.Value) > string(b.Value) }
 
-// freeLoopbackAddress returns a loopback address at which nothing listens.
+// testIP is a loopback address of this process alone, from which no other program opens connections: these would take ports that are
+// free for a moment.
+var testIP = fmt.Sprintf("127.201.%d.%d", os.Getpid()>>7&0xff, 1+os.Getpid()&0x7f)
+
+// givenAddresses holds the addresses that freeLoopbackAddress has returned.
+var givenAddresses sync.Map
+
+// freeLoopbackAddress returns a loopback address at which nothing listens, and which it has not returned before.
 func freeLoopbackAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer listener.Close()
-	return listener.Addr().String()
+	for {
+		listener, err := net.Listen("tcp", testIP+":0")
+		qt.Assert(t, err, qt.IsNil)
+		address := listener.Addr().String()
+		_ = listener.Close()
+		if _, isGiven := givenAddresses.LoadOrStore(address, true); !isGiven {
+			return address
+		}
+	}
 }
 
 // startGateway starts a gateway that uses the given store and listens on loopback addresses.
--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -4,11 +4,13 @@
 // availability zone, which is one of the zone's VMs. The other VMs fetch the changes from a VM of their zone, whose
 // heartbeats announce its revision. Each zone has a reader in reserve, which reads the store when the copies become
 // old. A VM that starts reads only the registrations of its zone and fetches the rest from a VM that has it. A VM that
-// receives nothing from a reader reads the store itself. A copy does not know which keys were removed before it was first read;
-// where such keys may be missing, another VM gets the full copy instead of changes (see Span). While a VM can reach neither a reader nor the store, it keeps
+// receives nothing from a reader reads the store itself. While a VM can reach neither a reader nor the store, it keeps
 // using its last copy, which counts as stale. If the store has discarded the history that a watch needs, the store is
 // read in full again, and keys that no longer exist are reported as deleted.
 //
+// A copy does not know which keys were removed before it was first read. Where that matters, another VM gets the full copy instead
+// of changes: see Span.
+//
 // The store drops keys whose owners did not renew them, even while it is down itself. Deletions after an outage that was long
 // enough for this are therefore tentative until a grace period after its end, in which a live owner writes its key again.
 //
