--- a/client/client.go
+++ b/client/client.go
@@ -109,7 +109,9 @@
 	if s.MaxAnswerBytes == 0 {
 		s.MaxAnswerBytes = defaultMaxAnswerBytes
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
+	}
 	// net/http would follow a redirect with the send number of the previous send.
 	noRedirects := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{
--- a/internal/entrypeer/blocks.go
+++ b/internal/entrypeer/blocks.go
@@ -14,8 +14,8 @@
 	"github.com/primroseladder/primroseladder/internal/snapshot"
 )
 
-// BlockAsker asks other entries of the region for the requests that they block, so that entries that start, or missed a note, learn
-// of them.
+// BlockAsker asks other entries, mostly of the local region, for the requests that they block, so that entries that start, or missed
+// a note, learn of them.
 type BlockAsker struct {
 	self, region string
 	holder       *snapshot.Holder
@@ -79,7 +79,8 @@
 	if maxDistance < 1 {
 		return fleet.VM{}, false
 	}
-	return vms[(at+1<<rand.IntN(bits.Len(uint(maxDistance))))%len(vms)], true
+	distance := 1 << rand.IntN(bits.Len(uint(maxDistance)))
+	return vms[(at+distance)%len(vms)], true
 }
 
 // CompareBlocks implements the gRPC service.
--- a/internal/soak/missedremovals.go
+++ b/internal/soak/missedremovals.go
@@ -60,7 +60,7 @@
 		wait.Go(func() { d.sendDirectly(v, fmt.Sprintf("direct-%d-%d", round, n), serving) })
 	}
 	wait.Wait()
-	if removed.drainStored.Load() != 0 {
+	if removed != nil {
 		removed.crash()
 	}
 	return nil
@@ -84,7 +84,7 @@
 }
 
 // freezeAndRemove freezes some VMs for freezeTime, and meanwhile removes the entry of a backend server and kills and starts other
-// VMs. It returns the backend server.
+// VMs. It returns the backend server, or nil if another fault has removed it first.
 func (d *deployment) freezeAndRemove(frozen, killed []*vm, draw *rand.Rand) (*backendServer, error) {
 	for _, v := range frozen {
 		if err := v.Signal(syscall.SIGSTOP); err != nil {
@@ -97,6 +97,8 @@
 	if d.unlist(removed) {
 		d.store.Delete(standin.ServerKey(removed.ID))
 		removed.drainStored.Store(time.Now().UnixNano())
+	} else {
+		removed = nil
 	}
 	for _, v := range killed {
 		v.kill()
