--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -9,9 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -23,6 +21,7 @@
 	"github.com/primroseladder/primroseladder/internal/gateway"
 	"github.com/primroseladder/primroseladder/internal/kv"
 	"github.com/primroseladder/primroseladder/internal/kv/kvtest"
+	"github.com/primroseladder/primroseladder/internal/listen/listentest"
 	"github.com/primroseladder/primroseladder/internal/roster"
 	"github.com/primroseladder/primroseladder/internal/route"
 )
@@ -56,32 +55,12 @@
 
 func (codec) IsNewer(a, b kv.Item) bool { return string(a.Value) > string(b.Value) }
 
-// testIP is a loopback address of this process alone, from which no other program opens connections: these would take ports that are
-// free for a moment.
-var testIP = fmt.Sprintf("127.201.%d.%d", os.Getpid()>>7&0xff, 1+os.Getpid()&0x7f)
-
-// givenAddresses holds the addresses that freeLoopbackAddress has returned.
-var givenAddresses sync.Map
-
-// freeLoopbackAddress returns a loopback address at which nothing listens, and which it has not returned before.
-func freeLoopbackAddress(t *testing.T) string {
-	for {
-		listener, err := net.Listen("tcp", testIP+":0")
-		qt.Assert(t, err, qt.IsNil)
-		address := listener.Addr().String()
-		_ = listener.Close()
-		if _, isGiven := givenAddresses.LoadOrStore(address, true); !isGiven {
-			return address
-		}
-	}
-}
-
 // startGateway starts a gateway that uses the given store and listens on loopback addresses.
 func startGateway(t *testing.T, store kv.Store) (*gateway.Settings, *fxtest.App) {
 	s := &gateway.Settings{
-		VM: "vm-1", Zone: "a", Region: "r", Regions: map[string]string{"a": "r"}, CallerListen: freeLoopbackAddress(t),
-		ReadyListen: freeLoopbackAddress(t), DirectoryListen: freeLoopbackAddress(t),
-		MetricsListen: freeLoopbackAddress(t), PeerListen: freeLoopbackAddress(t), Cores: 1, LinkMbps: 1000,
+		VM: "vm-1", Zone: "a", Region: "r", Regions: map[string]string{"a": "r"}, CallerListen: listentest.FreeAddress(t),
+		ReadyListen: listentest.FreeAddress(t), DirectoryListen: listentest.FreeAddress(t),
+		MetricsListen: listentest.FreeAddress(t), PeerListen: listentest.FreeAddress(t), Cores: 1, LinkMbps: 1000,
 		Grace: 5 * time.Second, MaxAnswerTTL: 5 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 10,
 	}
 	p := &gateway.Platform{
