Scenarios: say which command failed, after how long, and why requests were not done

Change: the audit of a failed scenario begins with the failed command, its time and its error. load-wait and a failed "expect load" count the requests that were not done by outcome and reason.

--- a/internal/scenario/commands.go
+++ b/internal/scenario/commands.go
@@ -1,9 +1,13 @@
 package scenario
 
 import (
+	"cmp"
+	"errors"
 	"fmt"
+	"maps"
 	"os/exec"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -13,6 +17,7 @@
 	"github.com/primroseladder/primroseladder/client"
 	"github.com/primroseladder/primroseladder/internal/fleet"
 	"github.com/primroseladder/primroseladder/internal/load"
+	"github.com/primroseladder/primroseladder/internal/outcome"
 )
 
 // command implements one command of the scenario language. A returned error fails the scenario, unless the script
@@ -40,20 +45,26 @@
 func Commands() map[string]func(*testscript.TestScript, bool, []string) {
 	out := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range allCommands() {
-		out[name] = adapt(run)
+		out[name] = adapt(name, run)
 	}
 	return out
 }
 
-func adapt(run command) func(*testscript.TestScript, bool, []string) {
+func adapt(name string, run command) func(*testscript.TestScript, bool, []string) {
 	return func(ts *testscript.TestScript, negated bool, args []string) {
 		f := ts.Value(fleetKey{}).(*Fleet)
+		begin := time.Now()
 		err := run(f, ts, args)
-		if err != nil && !negated {
-			ts.Fatalf("%v", err)
+		failure := err
+		if negated {
+			failure = nil
+			if err == nil {
+				failure = errors.New("command succeeded, but \"!\" expects it to fail")
+			}
 		}
-		if err == nil && negated {
-			ts.Fatalf("command succeeded, but \"!\" expects it to fail")
+		if failure != nil {
+			f.failure = fmt.Sprintf("%s %s: after %s: %v", name, strings.Join(args, " "), time.Since(begin).Round(time.Millisecond), failure)
+			ts.Fatalf("%v", failure)
 		}
 		if err != nil {
 			fmt.Fprintln(ts.Stderr(), err)
@@ -217,7 +228,7 @@
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(ts.Stdout(), "%s: %s\n", name, summarizeAudit(load.AuditRequests(report.Requests, runs)))
+		fmt.Fprintf(ts.Stdout(), "%s: %s%s\n", name, summarizeAudit(load.AuditRequests(report.Requests, runs)), summarizeReasons(report))
 	}
 	return nil
 }
@@ -227,6 +238,21 @@
 		a.Sent, a.Served, a.Refused, a.Unknown, a.RunTwice, a.FalseNotRun, a.AnswerMismatch, a.FalseDone)
 }
 
+// summarizeReasons counts the requests that were not done by outcome and reason. It returns "" if all were done.
+func summarizeReasons(report *load.Report) string {
+	counts := map[string]int{}
+	for _, s := range report.Requests {
+		if s.Outcome != string(outcome.Done) {
+			counts[cmp.Or(s.Outcome, "no outcome")+" "+cmp.Or(s.Reason, "without reason")]++
+		}
+	}
+	var out strings.Builder
+	for _, reason := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(&out, ", %s %d", reason, counts[reason])
+	}
+	return out.String()
+}
+
 // cmdCall sends one request to an entry VM: "call VM METHOD TARGET [-H 'Name: value']... [-d BODY] [-timeout DURATION]".
 func cmdCall(f *Fleet, ts *testscript.TestScript, args []string) error {
 	c, err := parseCall(args)
--- a/internal/scenario/expect.go
+++ b/internal/scenario/expect.go
@@ -84,7 +84,7 @@
 		errs = append(errs, checkLoadFigure(text, report, audit, f.topology.totalSlots(f.loads[args[0]].service)))
 	}
 	if err := errors.Join(errs...); err != nil {
-		return fmt.Errorf("%w\n%s", err, summarizeAudit(audit))
+		return fmt.Errorf("%w\n%s%s", err, summarizeAudit(audit), summarizeReasons(report))
 	}
 	return nil
 }
--- a/internal/scenario/fleet.go
+++ b/internal/scenario/fleet.go
@@ -49,6 +49,8 @@
 	revisionMonitor *revisionMonitor
 	// floorMonitor is nil until start has succeeded.
 	floorMonitor *floorMonitor
+	// failure describes the command at which the scenario failed.
+	failure string
 }
 
 func newFleet(programDir, dir string, p *portAllocator) *Fleet {
--- a/internal/scenario/runner.go
+++ b/internal/scenario/runner.go
@@ -91,6 +91,10 @@
 // auditFleet waits for loads and delayed requests and then checks the requests, floors, connections and logs of a scenario.
 // It runs at the end of each scenario, even if it failed.
 func (r *Runner) auditFleet(tb testing.TB, f *Fleet) {
+	// The report of testscript, which ends with the same, comes after the logs of all processes.
+	if f.failure != "" {
+		tb.Logf("failed at: %s", f.failure)
+	}
 	if f.platform == nil {
 		return
 	}
