Stand-in links: refuse connections while nothing listens at the target

A relay accepted connections to a VM whose processes had been killed, and reset them only after the client had written its request, so that this counted as a send. A machine would have refused the connection, and the client does not count what was never sent.

Change: once the target of a relay refuses a connection, the relay refuses new connections itself until something listens at the target. The socket keeps its port (shutdown, then listen again). A cut link still makes new connections hang.

It is a fault of the stand-in; no program changes.

--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -3,19 +3,25 @@
 import (
 	"io"
 	"net"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/primroseladder/primroseladder/internal/listen/listentest"
 )
 
 // timeout bounds the wait for an expected event.
 const timeout = 3 * time.Second
 
 // startEchoServer returns the address of a server that sends back what it receives.
-func startEchoServer(c *qt.C) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func startEchoServer(c *qt.C) string { return startEchoServerAt(c, "127.0.0.1:0").Addr().String() }
+
+// startEchoServerAt starts a server like startEchoServer at an address and returns its listener.
+func startEchoServerAt(c *qt.C, address string) net.Listener {
+	listener, err := net.Listen("tcp", address)
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = listener.Close() })
 	go func() {
@@ -30,7 +36,7 @@
 			}()
 		}
 	}()
-	return listener.Addr().String()
+	return listener
 }
 
 func newRelay(c *qt.C) (relay *Relay, forward, back *Direction) {
@@ -126,6 +132,59 @@
 	exchange(c, dial(c, relay), "after")
 }
 
+// TestRelayRefusesWhileNothingListens guards against relays that accept connections to a process that has ended: callers would
+// count their requests as sent, although a machine would have refused the connections.
+func TestRelayRefusesWhileNothingListens(t *testing.T) {
+	c := qt.New(t)
+	target := startEchoServerAt(c, listentest.FreeAddress(c))
+	forward, back := NewDirection("a", "b"), NewDirection("b", "a")
+	relay, err := NewRelay(target.Addr().String(), forward, back)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(relay.Close)
+	for range 3 {
+		exchange(c, dial(c, relay), "before")
+		c.Assert(target.Close(), qt.IsNil)
+		// The relay learns from the first connection that nothing listens, and resets it.
+		if conn, err := net.DialTimeout("tcp", relay.Address(), timeout); err == nil {
+			c.Check(receive(conn, 1, timeout), qt.Equals, "")
+			_ = conn.Close()
+		}
+		awaitDialError(c, relay, "connection refused")
+		cut(c, relay, forward, true)
+		awaitDialError(c, relay, "i/o timeout")
+		cut(c, relay, forward, false)
+		awaitDialError(c, relay, "connection refused")
+		target = startEchoServerAt(c, target.Addr().String())
+		awaitDialError(c, relay, "")
+	}
+	exchange(c, dial(c, relay), "after")
+}
+
+// awaitDialError waits until connections to a relay fail with an error that ends in a text, or succeed if it is "".
+func awaitDialError(c *qt.C, relay *Relay, text string) {
+	c.Helper()
+	var err error
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		var conn net.Conn
+		conn, err = net.DialTimeout("tcp", relay.Address(), 50*time.Millisecond)
+		if err == nil {
+			_ = conn.Close()
+		}
+		if err == nil && text == "" || err != nil && text != "" && strings.HasSuffix(err.Error(), text) {
+			return
+		}
+	}
+	c.Fatalf("connections still end with %v, expected %q", err, text)
+}
+
+// cut cuts or heals a direction and waits until the relay has applied it.
+func cut(c *qt.C, relay *Relay, d *Direction, isCut bool) {
+	d.SetCut(isCut)
+	for end := time.Now().Add(timeout); !relay.HasAppliedCuts(); time.Sleep(time.Millisecond) {
+		c.Assert(time.Now().Before(end), qt.IsTrue)
+	}
+}
+
 // TestCutBlocksConnectionsDuringAccept cuts a direction right after the relay accepted a connection, when its accept loop is
 // about to accept again. A cut relay fills its own accept queue, so that new connections hang. If the loop accepted the
 // connections that fill the queue, the queue would have space, and new connections would not hang.
--- a/internal/standin/link/relay.go
+++ b/internal/standin/link/relay.go
@@ -8,6 +8,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -18,9 +19,12 @@
 	maxQueuedChunks = 256
 	// dialTimeout bounds connection attempts to the target of a relay.
 	dialTimeout = 5 * time.Second
+	// listenCheckInterval is the time between two checks whether a target that refused a connection listens again.
+	listenCheckInterval = 10 * time.Millisecond
 )
 
-// Relay listens in place of a target address and forwards each connection to it, with the faults of its two directions.
+// Relay listens in place of a target address and forwards each connection to it, with the faults of its two directions. While
+// nothing listens at the target, the relay resets the first connection and refuses those after it.
 type Relay struct {
 	target  string
 	forward *Direction
@@ -31,6 +35,8 @@
 	ctx          context.Context
 	cancel       context.CancelFunc
 	wg           sync.WaitGroup
+	// isRefusing is set while refuseUntilTargetListens waits for the target.
+	isRefusing atomic.Bool
 
 	mu sync.Mutex
 	// reset is closed by the next call of Reset.
@@ -40,14 +46,13 @@
 // NewRelay starts a relay to the target address on a free port of the loopback interface. forward is the direction from
 // the connecting side to the target, back the opposite one.
 func NewRelay(target string, forward, back *Direction) (*Relay, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g, err := newGate()
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Relay{
-		target: target, forward: forward, back: back, gate: newGate(listener.(*net.TCPListener)), ctx: ctx, cancel: cancel,
-		reset: make(chan struct{}),
+		target: target, forward: forward, back: back, gate: g, ctx: ctx, cancel: cancel, reset: make(chan struct{}),
 	}
 	r.wg.Go(r.watchCuts)
 	r.wg.Go(r.accept)
@@ -132,6 +137,9 @@
 	if err != nil {
 		// The client is connected already, so that a reset is the closest equivalent of a refused connection.
 		_ = client.SetLinger(0)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			r.refuseUntilTargetListens()
+		}
 		return
 	}
 	server := upstream.(*net.TCPConn)
@@ -152,6 +160,28 @@
 	both.Wait()
 }
 
+// refuseUntilTargetListens refuses new connections until something listens at the target. Only the first call has an effect
+// until then.
+func (r *Relay) refuseUntilTargetListens() {
+	if !r.isRefusing.CompareAndSwap(false, true) {
+		return
+	}
+	r.gate.setRefusing(true)
+	r.wg.Go(func() {
+		dialer := net.Dialer{Timeout: dialTimeout}
+		for sleep(r.ctx, listenCheckInterval) {
+			conn, err := dialer.DialContext(r.ctx, "tcp", r.target)
+			if err != nil {
+				continue
+			}
+			_ = conn.Close()
+			r.gate.setRefusing(false)
+			r.isRefusing.Store(false)
+			return
+		}
+	})
+}
+
 // chunk is a part of a byte stream. A chunk without data marks the end of the stream, by a reset if isReset is set.
 type chunk struct {
 	data       []byte
