primrose-entry: waiting requests are looked at every 50 ms

What callers saw: in an overload an entry refused everything for up to 5 s while backend servers were idle.

Cause: a new request goes behind those that wait, and these were looked at only when a request ended, a shedding server's pause was over or the set of usable servers changed. With nothing in flight, a server in a trial, which may get a request every 300 ms, and the budget for other regions, which is refilled by time, woke nobody.

Change: the check that ends ejections and trials, every 50 ms, also wakes waiting requests.

Ruled out: trial requests that never end (the counts show none in flight); a server without free slots; requests refused before they wait. primrose-gateway has no queue and is not concerned.

--- a/internal/run/health.go
+++ b/internal/run/health.go
@@ -63,7 +63,7 @@
 	s.board.SetBackends(live, len(zones))
 }
 
-// wakeWaiters grants slots to waiting requests after the set of usable backend servers has changed.
+// wakeWaiters grants slots to waiting requests after the set of usable backend servers may have changed.
 func (s *Service) wakeWaiters() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -141,11 +141,14 @@
 	return found != nil && found.board.View().LocalPathUnhealthy
 }
 
-// WatchHealth periodically reassesses the backend servers of all services until ctx ends.
+// WatchHealth periodically reassesses the backend servers of all services and wakes waiting requests until ctx ends. Time alone
+// makes backend servers usable when their next trial is due or the spill budget is refilled. No request may end then, and new ones
+// wait behind the others.
 func (r *Runner) WatchHealth(ctx context.Context) {
 	periodic.Run(ctx, health.TickInterval, func() {
 		for _, s := range r.allServices() {
 			s.board.Tick()
+			s.wakeWaiters()
 		}
 	})
 }
--- a/internal/run/runner_test.go
+++ b/internal/run/runner_test.go
@@ -40,7 +40,10 @@
 }
 
 // newRunner returns a runner with backend servers at the given addresses, all in the runner's region.
-func newRunner(e *catalogue.Entry, addresses ...string) *run.Runner {
+func newRunner(e *catalogue.Entry, addresses ...string) *run.Runner { return newRunnerIn("perth", e, addresses...) }
+
+// newRunnerIn returns a runner of a region with backend servers in perth at the given addresses.
+func newRunnerIn(region string, e *catalogue.Entry, addresses ...string) *run.Runner {
 	var vms []fleet.VM
 	for i, address := range addresses {
 		vms = append(vms, fleet.VM{
@@ -52,7 +55,7 @@
 	holder.ApplyView(fleet.NewView(1, vms))
 	holder.ApplyCatalogue(snapshot.CatalogueUpdate{Revision: 1, Complete: true, Entries: []*catalogue.Entry{e}})
 	return run.NewRunner(
-		"perth", &run.HealthOptions{}, holder, admission.NewGate(1000), poison.NewRegistry(poison.DefaultWindow), noSharing{},
+		region, &run.HealthOptions{}, holder, admission.NewGate(1000), poison.NewRegistry(poison.DefaultWindow), noSharing{},
 	)
 }
 
