Tests: addresses at which nothing listens stay free

In TestDrainingEndsAfterARestartInPlace a server comes back 0.5 s later at a port of 127.0.0.1 that a connection may have taken; in TestRefusedConnectionIsNotRun and TestRefusedConnectionIsNoSend another test may listen there. None has failed so yet.

Change: they use listentest.FreeAddress.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/primroseladder/primroseladder/client"
+	"github.com/primroseladder/primroseladder/internal/listen/listentest"
 )
 
 // reply is how the fake entry answers one send.
@@ -146,11 +146,9 @@
 
 // TestRefusedConnectionIsNoSend checks that an attempt at an address at which nothing listens does not use a send number.
 func TestRefusedConnectionIsNoSend(t *testing.T) {
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	address := closed.Addr().String()
-	qt.Assert(t, closed.Close(), qt.IsNil)
-	f := &fakeSystem{replies: []reply{{outcome: "done", status: 200}}, addresses: []string{address}, keepMS: 60_000}
+	f := &fakeSystem{
+		replies: []reply{{outcome: "done", status: 200}}, addresses: []string{listentest.FreeAddress(t)}, keepMS: 60_000,
+	}
 	server := httptest.NewServer(f)
 	defer server.Close()
 	for range 20 {
--- a/internal/run/runner_test.go
+++ b/internal/run/runner_test.go
@@ -19,6 +19,7 @@
 	"github.com/primroseladder/primroseladder/internal/duration"
 	"github.com/primroseladder/primroseladder/internal/fleet"
 	"github.com/primroseladder/primroseladder/internal/header"
+	"github.com/primroseladder/primroseladder/internal/listen/listentest"
 	"github.com/primroseladder/primroseladder/internal/outcome"
 	"github.com/primroseladder/primroseladder/internal/poison"
 	"github.com/primroseladder/primroseladder/internal/request"
@@ -40,7 +41,9 @@
 }
 
 // newRunner returns a runner with backend servers at the given addresses, all in the runner's region.
-func newRunner(e *catalogue.Entry, addresses ...string) *run.Runner { return newRunnerIn("perth", e, addresses...) }
+func newRunner(e *catalogue.Entry, addresses ...string) *run.Runner {
+	return newRunnerIn("perth", e, addresses...)
+}
 
 // newRunnerIn returns a runner of a region with backend servers in perth at the given addresses.
 func newRunnerIn(region string, e *catalogue.Entry, addresses ...string) *run.Runner {
@@ -130,11 +133,8 @@
 
 func TestRefusedConnectionIsNotRun(t *testing.T) {
 	c := qt.New(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	c.Assert(listener.Close(), qt.IsNil)
 	e := testEntry()
-	response := newRunner(e, listener.Addr().String()).Run(context.Background(), newRequest(e, false, "x"))
+	response := newRunner(e, listentest.FreeAddress(t)).Run(context.Background(), newRequest(e, false, "x"))
 	c.Assert(response.Outcome, qt.Equals, outcome.NotRun)
 }
 
@@ -205,7 +205,10 @@
 func TestDrainingEndsAfterARestartInPlace(t *testing.T) {
 	c := qt.New(t)
 	draining := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(header.Draining, "true") })
-	first := httptest.NewServer(draining)
+	listener, err := net.Listen("tcp", listentest.FreeAddress(t))
+	c.Assert(err, qt.IsNil)
+	first := &httptest.Server{Listener: listener, Config: &http.Server{Handler: draining}}
+	first.Start()
 	defer first.Close()
 	e := testEntry()
 	runner := newRunner(e, address(first))
@@ -219,7 +222,7 @@
 	first.Close()
 	time.Sleep(500 * time.Millisecond)
 	c.Assert(isDraining(), qt.IsTrue)
-	listener, err := net.Listen("tcp", address(first))
+	listener, err = net.Listen("tcp", address(first))
 	c.Assert(err, qt.IsNil)
 	second := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
 	defer second.Close()
