--- a/internal/run/health.go
+++ b/internal/run/health.go
@@ -141,9 +141,9 @@
 	return found != nil && found.board.View().LocalPathUnhealthy
 }
 
-// WatchHealth periodically reassesses the backend servers of all services and wakes waiting requests until ctx ends. Time alone
-// makes backend servers usable when their next trial is due or the spill budget is refilled. No request may end then, and new ones
-// wait behind the others.
+// WatchHealth periodically reassesses the backend servers of all services and wakes waiting requests until ctx ends. It must wake
+// them because time alone makes servers usable, when a trial is due or the spill budget is refilled: while no request is in flight,
+// nothing else would, and new requests queue behind the waiting ones.
 func (r *Runner) WatchHealth(ctx context.Context) {
 	periodic.Run(ctx, health.TickInterval, func() {
 		for _, s := range r.allServices() {
--- a/internal/scenario/commands.go
+++ b/internal/scenario/commands.go
@@ -50,6 +50,7 @@
 	return out
 }
 
+// adapt returns a command for testscript. A failure is also recorded in the fleet, for the audit of the scenario.
 func adapt(name string, run command) func(*testscript.TestScript, bool, []string) {
 	return func(ts *testscript.TestScript, negated bool, args []string) {
 		f := ts.Value(fleetKey{}).(*Fleet)
--- a/internal/standin/link/gate.go
+++ b/internal/standin/link/gate.go
@@ -25,7 +25,7 @@
 // it refuses and is not closed, new connections are refused, as by a machine on which nothing listens.
 type gate struct {
 	listener *net.TCPListener
-	// acceptMu is held during calls of AcceptTCP. suspend locks it to wait for the end of a call in progress, which would
+	// acceptMu is held during calls of AcceptTCP. apply locks it to wait for the end of a call in progress, which would
 	// otherwise accept the connections that fill the queue.
 	acceptMu sync.Mutex
 
