A crashing request is known again by its content, whatever address it comes from

What callers saw: with a request that crashes the backend servers which run it, one more server ended every few hundred milliseconds, and with it the requests that it ran.

Cause: the fingerprint held the address of the caller and the service. The same request comes from many addresses, and on a divided route it goes to several services; each pair took two servers of its own. The blocks in the store had different keys, each made after two crashes.

Without the address, sound requests of many callers share a fingerprint, and two servers that crash for reasons of their own would block them for everybody. So a request that was answered before is excused: its first crash takes the memory of the answer away, is reported as excused, and with those of the next 500 ms is not counted.

Ruled out: the path alone (one bad body would block a path); an excuse that each VM keeps to itself (one server more for each VM); no excuse.

--- a/internal/blocklist/blocklist_test.go
+++ b/internal/blocklist/blocklist_test.go
@@ -106,7 +106,7 @@
 func (v *vm) crash(server string, reportedTo ...*vm) {
 	v.registry.RecordCrash(bad, server)
 	for _, other := range reportedTo {
-		other.registry.ReceiveCrash(bad, server)
+		other.registry.ReceiveCrash(poison.Crash{Fingerprint: bad, Server: server})
 	}
 }
 
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -58,7 +58,7 @@
 func (a *attemptLoop) run(ctx context.Context) Result {
 	a.tried = map[string]bool{}
 	r := a.request
-	fingerprint := poison.FingerprintOf(r.Service, r.Method, r.Caller+r.Host+r.URI, r.Body)
+	fingerprint := poison.FingerprintOf("", r.Method, r.Host+r.URI, r.Body)
 	done, allowed := a.dispatcher.crashes.Begin(ctx, fingerprint)
 	if !allowed {
 		return Result{Outcome: NotRun, Reason: reasonBlocked, RetryAfter: retryAfterBlocked}
@@ -143,6 +143,7 @@
 		return a.setUnknown(reasonGarbled)
 	}
 	a.lastResult.Outcome, a.lastResult.Answer = Answered, answer
+	a.dispatcher.crashes.ExcuseNext(f)
 	a.dispatcher.crashes.RecordAnswer(f)
 	if answer.Status >= http.StatusInternalServerError {
 		res.completeFailed()
@@ -229,8 +230,8 @@
 		} else {
 			res.completeFailed()
 		}
-		if a.dispatcher.crashes.RecordCrash(f, res.id) {
-			a.dispatcher.options.ShareCrash(f, res.id)
+		if crash, isNews := a.dispatcher.crashes.RecordCrash(f, res.id); isNews {
+			a.dispatcher.options.ShareCrash(crash)
 		}
 		return a.setUnknown(reasonLost)
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -27,7 +27,6 @@
 	// URI is the request target: path and query.
 	URI    string
 	Host   string
-	Caller string
 	Header http.Header
 	Body   []byte
 	Target *route.Target
@@ -129,7 +128,7 @@
 	// Crashes holds the crashes of requests, if it is not nil.
 	Crashes *poison.Registry
 	// ShareCrash is called when a request has broken the connection of its backend server. It must not block.
-	ShareCrash func(f poison.Fingerprint, server string)
+	ShareCrash func(poison.Crash)
 	// Serves reports whether this VM is one of those that serve a service and tell each other of their requests.
 	Serves func(service string) bool
 	// AskHealth asks other VMs which backend servers of a service are healthy; they answer with ReceiveHealth. It reports
@@ -221,8 +220,8 @@
 }
 
 // ReceiveCrash records a request that broke the connection of its backend server on a peer.
-func (d *Dispatcher) ReceiveCrash(f poison.Fingerprint, server string) {
-	d.crashes.ReceiveCrash(f, server)
+func (d *Dispatcher) ReceiveCrash(c poison.Crash) {
+	d.crashes.ReceiveCrash(c)
 }
 
 // ExpireCrashes removes crashes whose window has ended.
--- a/internal/dispatch/identity_test.go
+++ b/internal/dispatch/identity_test.go
@@ -40,7 +40,7 @@
 		}
 		for n := range 20 {
 			result := s.vms[n%2].Do(context.Background(), &dispatch.Request{
-				ID: fmt.Sprint(n), Method: http.MethodGet, URI: "/poison", Host: "h", Caller: "10.0.0.9", Header: http.Header{},
+				ID: fmt.Sprint(n), Method: http.MethodGet, URI: "/poison", Host: "h", Header: http.Header{},
 				Target: s.target, Service: simService, Arrival: time.Now(),
 			})
 			if n >= 2 {
@@ -94,7 +94,7 @@
 		d := dispatch.New(dispatch.Options{
 			Zone: "a", Region: "r", Regions: map[string]string{"a": "r"}, Protocol: simProtocol, Log: zerolog.Nop(),
 			Connect:       func(to roster.Server, _ int) dispatch.ConnectionPool { return fakePool{p, to.Address} },
-			ShareEvidence: func(dispatch.Evidence) {}, ShareCrash: func(poison.Fingerprint, string) {},
+			ShareEvidence: func(dispatch.Evidence) {}, ShareCrash: func(poison.Crash) {},
 			RetryWindow: time.Second, RetryAllowance: func(string) float64 { return 1000 },
 		})
 		update := func(list ...roster.Server) { d.Update(map[string][]roster.Server{simService: list}, config) }
--- a/internal/dispatch/limit_test.go
+++ b/internal/dispatch/limit_test.go
@@ -97,7 +97,7 @@
 			Zone: "a", Region: "r", Regions: map[string]string{"a": "r"}, Protocol: simProtocol, Log: zerolog.Nop(),
 			Connect:       func(to roster.Server, _ int) dispatch.ConnectionPool { return servers[to.ID] },
 			ShareEvidence: func(e dispatch.Evidence) { f.share(vm, e) },
-			ShareCrash:    func(poison.Fingerprint, string) {}, RetryAllowance: func(string) float64 { return 0 },
+			ShareCrash:    func(poison.Crash) {}, RetryAllowance: func(string) float64 { return 0 },
 			Serves: func(string) bool { return serves(vm) },
 		}))
 	}
--- a/internal/dispatch/outcome_test.go
+++ b/internal/dispatch/outcome_test.go
@@ -88,7 +88,7 @@
 	d := dispatch.New(dispatch.Options{
 		Zone: "a", Region: "r", Regions: map[string]string{"a": "r"}, Protocol: simProtocol, Log: zerolog.Nop(),
 		Connect:       func(roster.Server, int) dispatch.ConnectionPool { return s },
-		ShareEvidence: s.shareEvidence, ShareCrash: func(poison.Fingerprint, string) {},
+		ShareEvidence: s.shareEvidence, ShareCrash: func(poison.Crash) {},
 		RetryWindow: time.Second, RetryAllowance: func(string) float64 { return 1000 },
 	})
 	list := []roster.Server{}
--- a/internal/dispatch/question_test.go
+++ b/internal/dispatch/question_test.go
@@ -42,7 +42,7 @@
 		idle = dispatch.New(dispatch.Options{
 			Zone: "a", Region: "r", Regions: map[string]string{"a": "r", "b": "r"}, Protocol: simProtocol, Log: zerolog.Nop(),
 			Connect:       func(to roster.Server, _ int) dispatch.ConnectionPool { return simPath{s.server(to.ID), "idle"} },
-			ShareEvidence: func(dispatch.Evidence) {}, ShareCrash: func(poison.Fingerprint, string) {},
+			ShareEvidence: func(dispatch.Evidence) {}, ShareCrash: func(poison.Crash) {},
 			RetryAllowance: func(string) float64 { return 0 },
 			AskHealth: func(service string) bool {
 				go func() {
@@ -75,7 +75,7 @@
 		d := dispatch.New(dispatch.Options{
 			Zone: "a", Region: "r", Regions: map[string]string{"a": "r"}, Protocol: simProtocol, Log: zerolog.Nop(),
 			Connect:       func(roster.Server, int) dispatch.ConnectionPool { return instantPool{} },
-			ShareEvidence: func(dispatch.Evidence) {}, ShareCrash: func(poison.Fingerprint, string) {},
+			ShareEvidence: func(dispatch.Evidence) {}, ShareCrash: func(poison.Crash) {},
 			RetryAllowance: func(string) float64 { return 0 },
 			AskHealth:      func(string) bool { asked++; return true },
 		})
@@ -98,7 +98,7 @@
 		d = dispatch.New(dispatch.Options{
 			Zone: "a", Region: "r", Regions: map[string]string{"a": "r"}, Protocol: simProtocol, Log: zerolog.Nop(),
 			Connect:       func(roster.Server, int) dispatch.ConnectionPool { return instantPool{} },
-			ShareEvidence: func(dispatch.Evidence) {}, ShareCrash: func(poison.Fingerprint, string) {},
+			ShareEvidence: func(dispatch.Evidence) {}, ShareCrash: func(poison.Crash) {},
 			RetryAllowance: func(string) float64 { return 0 },
 			AskHealth: func(service string) bool {
 				time.AfterFunc(2*time.Millisecond, func() { d.ReceiveHealth(service, nil) })
@@ -127,7 +127,7 @@
 						tried++
 					}
 				},
-				ShareCrash: func(poison.Fingerprint, string) {}, RetryAllowance: func(string) float64 { return 0 },
+				ShareCrash: func(poison.Crash) {}, RetryAllowance: func(string) float64 { return 0 },
 				Serves: func(string) bool { return isServing },
 			})
 			list := []roster.Server{{ID: "i-1", Service: simService, Zone: "a", Slots: 4}, {ID: "i-2", Service: simService, Zone: "a", Slots: 4}}
@@ -162,7 +162,7 @@
 					sent[e.Server]++
 				}
 			},
-			ShareCrash: func(poison.Fingerprint, string) {}, RetryAllowance: func(string) float64 { return 0 },
+			ShareCrash: func(poison.Crash) {}, RetryAllowance: func(string) float64 { return 0 },
 			Serves: func(string) bool { return false },
 			AskHealth: func(service string) bool {
 				time.AfterFunc(2*time.Millisecond, func() {
@@ -192,7 +192,7 @@
 		d = dispatch.New(dispatch.Options{
 			Zone: "a", Region: "r", Regions: map[string]string{"a": "r"}, Protocol: simProtocol, Log: zerolog.Nop(),
 			Connect:       func(roster.Server, int) dispatch.ConnectionPool { return instantPool{} },
-			ShareEvidence: func(dispatch.Evidence) {}, ShareCrash: func(poison.Fingerprint, string) {},
+			ShareEvidence: func(dispatch.Evidence) {}, ShareCrash: func(poison.Crash) {},
 			RetryAllowance: func(string) float64 { return 0 },
 			Serves:         func(string) bool { return false },
 			AskHealth: func(service string) bool {
--- a/internal/dispatch/region_test.go
+++ b/internal/dispatch/region_test.go
@@ -56,7 +56,7 @@
 	build := func(zone string, share func(dispatch.Evidence)) *dispatch.Dispatcher {
 		return dispatch.New(dispatch.Options{
 			Zone: zone, Region: regions[zone], Regions: regions, Protocol: simProtocol, Log: zerolog.Nop(), Connect: connect,
-			ShareEvidence: share, ShareCrash: func(poison.Fingerprint, string) {}, RetryRatio: 0.2, RetryWindow: 10 * time.Second,
+			ShareEvidence: share, ShareCrash: func(poison.Crash) {}, RetryRatio: 0.2, RetryWindow: 10 * time.Second,
 			RetryAllowance: func(string) float64 { return 9 },
 		})
 	}
--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -117,7 +117,7 @@
 					go s.vms[1-i].ReceiveEvidence(zone, e)
 				}
 			},
-			ShareCrash: func(f poison.Fingerprint, server string) { go s.vms[1-i].ReceiveCrash(f, server) },
+			ShareCrash: func(c poison.Crash) { go s.vms[1-i].ReceiveCrash(c) },
 			RetryRatio: 0.2, RetryWindow: 10 * time.Second,
 			RetryAllowance: func(string) float64 { return 9 },
 		}))
--- a/internal/entrypeer/crash.go
+++ b/internal/entrypeer/crash.go
@@ -83,6 +83,6 @@
 		s.registry.RecordAnswer(f)
 		return &pb.CrashAck{}, nil
 	}
-	s.registry.ReceiveCrash(f, note.GetBackend())
+	s.registry.ReceiveCrash(poison.Crash{Fingerprint: f, Server: note.GetBackend()})
 	return &pb.CrashAck{}, nil
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -58,6 +58,8 @@
 		}
 		return float64(blocked)
 	})
+	m.RegisterCounter("blocked_in_error_total", "Requests that were refused as blocked although a backend server has answered the same one later.",
+		func() float64 { return float64(in.Blocks.Registry.BlockedInError()) })
 	m.RegisterGauge("neighbours", "Other live VMs of the availability zone, and store readers of other zones.", func() float64 {
 		return float64(len(in.Fleet.Sources()))
 	})
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -117,7 +117,7 @@
 			endpoint.SendEvidence(e)
 		},
 		Crashes:    crashes,
-		ShareCrash: func(f poison.Fingerprint, server string) { endpoint.SendCrash(f, server) },
+		ShareCrash: endpoint.SendCrash,
 		Serves:     g.Serves, AskHealth: endpoint.AskHealth,
 		RetryRatio: s.RetryRatio, RetryWindow: s.RetryWindow, RetryAllowance: g.RetryAllowance, Log: log,
 	})
--- a/internal/ingress/body_test.go
+++ b/internal/ingress/body_test.go
@@ -133,7 +133,7 @@
 	d := dispatch.New(dispatch.Options{
 		Zone: "a", Region: "r", Regions: map[string]string{"a": "r"}, Log: zerolog.Nop(),
 		Protocol:      dispatch.Protocol{RequestID: "X-Id", DeadlineMS: "X-Deadline", Signature: "X-Signature", ExpectedInstance: "X-Expected"},
-		ShareEvidence: func(dispatch.Evidence) {}, ShareCrash: func(poison.Fingerprint, string) {},
+		ShareEvidence: func(dispatch.Evidence) {}, ShareCrash: func(poison.Crash) {},
 		RetryAllowance: func(string) float64 { return 0 },
 	})
 	d.Update(map[string][]roster.Server{"s": {{ID: "i-1", Service: "s", Zone: "a", Slots: 100, Address: address}}}, nil)
--- a/internal/ingress/read.go
+++ b/internal/ingress/read.go
@@ -26,7 +26,7 @@
 		return nil, http.StatusBadRequest, "no request id"
 	}
 	out := &dispatch.Request{
-		ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Caller: callerHost(r), Target: target, Arrival: arrival,
+		ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Target: target, Arrival: arrival,
 		ConfigVersion: table.Config.Version,
 	}
 	bodyTimeout := defaultBodyTimeout
@@ -69,15 +69,6 @@
 	return n + lineEnd
 }
 
-// callerHost returns the caller's host without the port.
-func callerHost(r *http.Request) string {
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		return r.RemoteAddr
-	}
-	return host
-}
-
 // readBody reads the body of a request. It returns status 0, or that of the response if the body exceeds limit bytes, is
 // not complete within the given time, or cannot be read.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64, within time.Duration) ([]byte, int) {
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -1,6 +1,9 @@
 // Package poison blocks requests that crash the backend servers that run them. A request is identified by its
-// fingerprint: service, method, target and body. After crashes of two different backend servers it is blocked for a
-// time; an answer to it at any time unblocks it. Package blocklist passes blocks and their ends on to VMs that did not hear of them.
+// fingerprint. After crashes of two different backend servers it is blocked for a time; an answer to it at any time unblocks it.
+// Package blocklist passes blocks and their ends on to VMs that did not hear of them.
+//
+// A backend server that crashes for a reason of its own breaks the connections of all requests that it runs. A request that was
+// answered before (ExcuseNext) is therefore excused: its first crash, and those shortly after, are not counted.
 package poison
 
 import (
@@ -20,6 +23,9 @@
 	maxCrashedServers = 2
 	// DefaultWindow is how long crashes are kept and a request stays blocked.
 	DefaultWindow = 10 * time.Minute
+	// excuseTime is for how long crashes of a request that was answered before are not counted. Backend servers that crash for a
+	// common reason crash within it.
+	excuseTime = 500 * time.Millisecond
 	// maxFingerprints limits memory. Above it, crashes of further requests are not recorded until old ones expire.
 	maxFingerprints = 10_000
 )
@@ -27,11 +33,13 @@
 // Fingerprint identifies equal requests.
 type Fingerprint uint64
 
-// FingerprintOf returns the fingerprint of a request.
-func FingerprintOf(service, method, target string, body []byte) Fingerprint {
+// FingerprintOf returns the fingerprint of a request by its content: whose request it is, if that is known, the method, the target
+// and the body. Neither the address that it came from nor the service that it is sent to belongs to it: the same request comes from
+// many addresses, and crashes the backend servers of every service that its route leads to.
+func FingerprintOf(owner, method, target string, body []byte) Fingerprint {
 	var d xxhash.Digest
 	d.Reset()
-	for _, part := range []string{service, method, target} {
+	for _, part := range []string{owner, method, target} {
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
 	}
@@ -39,9 +47,20 @@
 	return Fingerprint(d.Sum64())
 }
 
+// Crash is the crash of a backend server that ran a request.
+type Crash struct {
+	Fingerprint Fingerprint
+	Server      string
+	// IsExcused is set if the request was answered before, so that VMs do not count the crash.
+	IsExcused bool
+}
+
 // Registry keeps the crashes of requests by fingerprint. It is safe for concurrent use.
 type Registry struct {
 	window time.Duration
+	sound  soundSet
+	// blockedInError is the number of requests that were refused although a backend server has answered the same request later.
+	blockedInError atomic.Int64
 
 	// count is the number of records. It lets IsEmpty work without the lock.
 	count   atomic.Int64
@@ -68,12 +87,18 @@
 	// isOwn is set if this VM saw one of the crashes.
 	isOwn     bool
 	expiresAt time.Time
+	// excusedUntil is until when crashes are not counted. It is zero if the request was not answered before its first crash.
+	excusedUntil time.Time
+	// refused is the number of requests that this VM has refused while the request was blocked.
+	refused int64
 	// trial is not nil while a request that has crashed a backend server runs again. It is closed when that run ends.
 	trial chan struct{}
 }
 
 func (r *record) isBlocked() bool { return r.isAdopted || len(r.crashedServers) >= maxCrashedServers }
 
+func (r *record) isExcused(now time.Time) bool { return now.Before(r.excusedUntil) }
+
 // Block is a blocked request, or one whose block has ended with an answer, as VMs pass it on to each other. Of two with the same
 // fingerprint, the one that remains longer is later.
 type Block struct {
@@ -123,7 +148,10 @@
 	case known == nil:
 		return nil, nil, true
 	case known.isBlocked():
+		known.refused++
 		return nil, nil, false
+	case known.isExcused(time.Now()):
+		return nil, nil, true
 	case known.trial != nil:
 		return nil, known.trial, false
 	}
@@ -150,30 +178,41 @@
 }
 
 // RecordCrash records that this VM saw the connection of a backend server break without an answer while it ran the request. It
-// reports whether this is the first recorded crash of the backend server by the request.
-func (r *Registry) RecordCrash(f Fingerprint, server string) bool {
-	return r.recordCrash(f, server, true)
+// returns the crash as it is reported to other VMs, and whether it is news for them.
+func (r *Registry) RecordCrash(f Fingerprint, server string) (c Crash, isNews bool) {
+	return r.recordCrash(Crash{Fingerprint: f, Server: server}, true)
 }
 
 // ReceiveCrash records a crash that another VM saw.
-func (r *Registry) ReceiveCrash(f Fingerprint, server string) { r.recordCrash(f, server, false) }
+func (r *Registry) ReceiveCrash(c Crash) { r.recordCrash(c, false) }
 
-func (r *Registry) recordCrash(f Fingerprint, server string, isOwn bool) bool {
+func (r *Registry) recordCrash(c Crash, isOwn bool) (reported Crash, isNews bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known := r.findOrAdd(f)
+	known := r.findOrAdd(c.Fingerprint)
 	if known == nil {
-		return false
+		return c, false
+	}
+	now := time.Now()
+	known.expiresAt = now.Add(r.window)
+	if r.sound.remove(c.Fingerprint) {
+		c.IsExcused = true
+	}
+	if c.IsExcused {
+		known.excusedUntil = now.Add(excuseTime)
+		return c, true
+	}
+	if known.isExcused(now) {
+		return c, false
 	}
 	wasBlocked := known.isBlocked()
 	known.isOwn = known.isOwn || isOwn
-	known.expiresAt = time.Now().Add(r.window)
-	isNew := !known.crashedServers[server]
-	known.crashedServers[server] = true
+	isNews = !known.crashedServers[c.Server]
+	known.crashedServers[c.Server] = true
 	if !wasBlocked && known.isBlocked() {
 		r.notify()
 	}
-	return isNew
+	return c, isNews
 }
 
 // Adopt adopts the block, or the end of a block, of another VM unless this VM knows a later one of the request.
@@ -210,7 +249,8 @@
 
 // endBlock forgets the crashes of a request and remembers its answer. The caller holds r.mu.
 func (r *Registry) endBlock(f Fingerprint, a answer) {
-	if r.records[f] != nil {
+	if known := r.records[f]; known != nil {
+		r.blockedInError.Add(known.refused)
 		r.remove(f)
 	}
 	if _, isKnown := r.answered[f]; isKnown || len(r.answered) < maxFingerprints {
@@ -262,9 +302,18 @@
 	return out
 }
 
+// ExcuseNext remembers that a backend server has answered the request, so that its next crash is excused.
+func (r *Registry) ExcuseNext(f Fingerprint) { r.sound.add(f) }
+
+// BlockedInError returns how many requests this VM has refused although a backend server has answered the same request later.
+func (r *Registry) BlockedInError() int64 { return r.blockedInError.Load() }
+
 // RecordAnswer removes the record of a request that a backend server has answered. It reports whether there was one. The end of a
 // block is remembered for the window.
 func (r *Registry) RecordAnswer(f Fingerprint) bool {
+	if r.IsEmpty() {
+		return false
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.findActive(f)
--- a/internal/run/poison.go
+++ b/internal/run/poison.go
@@ -22,7 +22,7 @@
 // recordCrash records that the request was running when the backend server's connection broke, and shares new crashes.
 func (x *execution) recordCrash(chosen *server) {
 	f := x.fingerprint()
-	if x.runner.poison.RecordCrash(f, chosen.vm.Name) {
+	if _, isNews := x.runner.poison.RecordCrash(f, chosen.vm.Name); isNews {
 		x.runner.crashSharer.ShareCrash(x.req.Entry.Service, f, chosen.vm.Name)
 	}
 }
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -135,7 +135,11 @@
 func (d *deployment) roundTrip(ctx context.Context, client *http.Client, r *request) (int, error) {
 	// net/http retries requests on its own if it can rewind their bodies. NopCloser hides that this body can be rewound.
 	body := io.NopCloser(strings.NewReader(r.body))
-	out, err := http.NewRequestWithContext(ctx, r.method, "http://"+r.vm.callerRelay.Address()+r.uri, body)
+	address := r.vm.callerRelay.Address()
+	if r.isDirect {
+		address = r.vm.settings.CallerListen
+	}
+	out, err := http.NewRequestWithContext(ctx, r.method, "http://"+address+r.uri, body)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/soak/crashingrequests.go
+++ b/internal/soak/crashingrequests.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -15,7 +16,7 @@
 
 const (
 	// crashPrefix is the prefix of the paths of requests that crash the backend servers which run them.
-	crashPrefix = "/lookups/crash-"
+	crashPrefix = "/crashing/"
 	// meanCrashInterval is the mean pause between two requests with the same path, for each VM.
 	meanCrashInterval = 12 * time.Second
 	// restartInterval is the pause between the restarts of two VMs.
@@ -24,6 +25,8 @@
 	contactMargin = 200 * time.Millisecond
 	// crashTime is how long a backend server counts as disturbed after a crash.
 	crashTime = time.Second
+	// crashCallers is how many addresses the same crashing request comes from.
+	crashCallers = 8
 	// maxLateRetries is how many retries of a crashing request the users allow later than contactBound after its third crash.
 	maxLateRetries = 3
 )
@@ -43,18 +46,21 @@
 	for n := 0; time.Now().Before(end); n++ {
 		time.Sleep(time.Duration(draw.ExpFloat64() * float64(meanCrashInterval) / float64(len(d.vms))))
 		v := d.vms[draw.IntN(len(d.vms))]
-		wait.Go(func() { d.sendCrashingRequest(v, fmt.Sprintf("crash-%d", n)) })
+		wait.Go(func() { d.sendCrashingRequest(v, n, fmt.Sprintf("crash-%d", n)) })
 	}
 	wait.Wait()
 }
 
-func (d *deployment) sendCrashingRequest(v *vm, id string) {
+// sendCrashingRequest sends the crashing request from one of crashCallers addresses.
+func (d *deployment) sendCrashingRequest(v *vm, caller int, id string) {
 	r := &request{
 		id: id, method: http.MethodGet, host: callerHost, uri: fmt.Sprint(crashPrefix, d.options.Seed), kind: route.Idempotent, vm: v,
-		limit: routeTimeout,
+		limit: routeTimeout, isDirect: true,
 	}
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, byte(2+caller%crashCallers))}}
+	client := &http.Client{Timeout: shortClient.Timeout, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}}
 	// exchange records the result in the ledger.
-	_, _ = d.exchange(context.Background(), shortClient, r)
+	_, _ = d.exchange(context.Background(), client, r)
 }
 
 func (d *deployment) restartInTurn(end time.Time, wait *sync.WaitGroup) {
@@ -69,7 +75,7 @@
 		endFault()
 		wait.Go(func() {
 			time.Sleep(contactBound + contactMargin)
-			d.sendCrashingRequest(v, fmt.Sprintf("crash-after-restart-%d", n))
+			d.sendCrashingRequest(v, n, fmt.Sprintf("crash-after-restart-%d", n))
 		})
 	}
 }
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -241,14 +241,19 @@
 	for _, name := range serviceNames {
 		out.Services = append(out.Services, route.Service{Name: name, MaxConnections: 360})
 	}
-	add := func(name, prefix string, kind route.Kind, service string) {
+	add := func(name, prefix string, kind route.Kind, services ...string) {
+		var shares []route.Share
+		for _, service := range services {
+			shares = append(shares, route.Share{Service: service, Weight: 1})
+		}
 		out.Routes = append(out.Routes, route.Route{
 			Name: name, Host: callerHost, Prefix: prefix, Kind: kind, Timeout: routeTimeout, TargetLatency: time.Second,
-			MaxAttempts: maxAttempts, Shares: []route.Share{{Service: service, Weight: 1}},
+			MaxAttempts: maxAttempts, Shares: shares,
 		})
 	}
 	add("orders", "/orders/", route.NonIdempotent, ordersTo)
 	add("lookups", "/lookups/", route.Idempotent, "lookups")
+	add("crashes", crashPrefix, route.Idempotent, serviceNames...)
 	return out
 }
 
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -18,8 +18,10 @@
 	body   string
 	kind   route.Kind
 	// vm is the VM that the caller sent it to.
-	vm   *vm
-	sent time.Time
+	vm *vm
+	// isDirect is set if it does not pass the relay, so that the VM sees the caller's address.
+	isDirect bool
+	sent     time.Time
 	// limit is the earlier of the route's time limit and the caller's deadline, counted from sent.
 	limit time.Duration
 	// abandoned is when the caller stopped waiting before the limit; zero if it did not.
--- a/internal/vmpeer/codec.go
+++ b/internal/vmpeer/codec.go
@@ -46,12 +46,6 @@
 	trialBit = 0x80
 )
 
-// crash is the report of a request that broke the connection of a backend server.
-type crash struct {
-	fingerprint poison.Fingerprint
-	server      string
-}
-
 func encodeHeartbeat(m membership.Member) ([]byte, error) {
 	body, err := json.Marshal(m)
 	return append([]byte{byte(kindHeartbeat)}, body...), err
@@ -209,17 +203,26 @@
 	return service, servers, err
 }
 
-func encodeCrash(c crash) []byte {
-	out := binary.BigEndian.AppendUint64([]byte{byte(kindCrash)}, uint64(c.fingerprint))
-	return appendName(out, c.server)
+// encodeCrash encodes the fingerprint (8 bytes, big endian), the name of the backend server, and 1 if the crash is excused, else 0
+// (1 byte).
+func encodeCrash(c poison.Crash) []byte {
+	out := binary.BigEndian.AppendUint64([]byte{byte(kindCrash)}, uint64(c.Fingerprint))
+	var excused byte
+	if c.IsExcused {
+		excused = 1
+	}
+	return append(appendName(out, c.Server), excused)
 }
 
-func decodeCrash(body []byte) (crash, error) {
+// decodeCrash decodes a crash. Reports of earlier versions end after the name.
+func decodeCrash(body []byte) (poison.Crash, error) {
 	if len(body) < 8 {
-		return crash{}, fmt.Errorf("decode crash report: body of %d bytes is shorter than the minimum of 8", len(body))
+		return poison.Crash{}, fmt.Errorf("decode crash report: body of %d bytes is shorter than the minimum of 8", len(body))
 	}
-	server, _, err := decodeName(body[8:])
-	return crash{fingerprint: poison.Fingerprint(binary.BigEndian.Uint64(body)), server: server}, err
+	server, rest, err := decodeName(body[8:])
+	return poison.Crash{
+		Fingerprint: poison.Fingerprint(binary.BigEndian.Uint64(body)), Server: server, IsExcused: len(rest) > 0 && rest[0] != 0,
+	}, err
 }
 
 // newsQuestion asks a VM for what the VM that asks may have missed. It holds the digests of what that one knows.
--- a/internal/vmpeer/codec_test.go
+++ b/internal/vmpeer/codec_test.go
@@ -62,7 +62,7 @@
 
 func TestCrashAndHeartbeatRoundTrip(t *testing.T) {
 	c := qt.New(t)
-	report := crash{fingerprint: 0xfedcba9876543210, server: "i-1"}
+	report := poison.Crash{Fingerprint: 0xfedcba9876543210, Server: "i-1", IsExcused: true}
 	gotReport, err := decodeCrash(encodeCrash(report)[1:])
 	c.Assert(err, qt.IsNil)
 	c.Check(gotReport, qt.Equals, report)
@@ -76,7 +76,7 @@
 
 func FuzzDatagrams(f *testing.F) {
 	f.Add(encodeEvidence(dispatch.Evidence{Service: "s", Server: "i-1", Open: 3}))
-	f.Add(encodeCrash(crash{fingerprint: 1, server: "i-1"}))
+	f.Add(encodeCrash(poison.Crash{Fingerprint: 1, Server: "i-1"}))
 	f.Add(encodeBlockAnswer([]poison.Block{{Fingerprint: 1, Remaining: time.Minute}}))
 	f.Fuzz(func(t *testing.T, datagram []byte) {
 		if len(datagram) == 0 {
--- a/internal/vmpeer/endpoint.go
+++ b/internal/vmpeer/endpoint.go
@@ -41,7 +41,7 @@
 	// told another VM about itself.
 	ReceiveHealthTransition(e dispatch.Evidence)
 	// ReceiveCrash is called with a request that broke the connection of a backend server.
-	ReceiveCrash(f poison.Fingerprint, server string)
+	ReceiveCrash(c poison.Crash)
 	// BlocksBesides returns the blocks of this VM if their digest differs from the given one.
 	BlocksBesides(digest uint64) []poison.Block
 	// LeavingBesides returns the backend servers that have said that they are leaving if their digest differs from the given one.
@@ -189,7 +189,7 @@
 	case kindCrash:
 		c, err := decodeCrash(body)
 		if err == nil {
-			to.ReceiveCrash(c.fingerprint, c.server)
+			to.ReceiveCrash(c)
 		}
 		return err
 	case kindNewsQuestion:
@@ -308,8 +308,8 @@
 }
 
 // SendCrash reports a request that broke the connection of a backend server to all registered VMs.
-func (ep *Endpoint) SendCrash(f poison.Fingerprint, server string) {
-	datagram := encodeCrash(crash{fingerprint: f, server: server})
+func (ep *Endpoint) SendCrash(c poison.Crash) {
+	datagram := encodeCrash(c)
 	for _, m := range ep.fleet.RegisteredPeers() {
 		ep.send(m.PeerAddress, datagram)
 	}
--- a/internal/vmpeer/subscription_test.go
+++ b/internal/vmpeer/subscription_test.go
@@ -17,7 +17,7 @@
 
 func (noReceiver) ReceiveEvidence(string, dispatch.Evidence)     {}
 func (noReceiver) ReceiveHealthTransition(dispatch.Evidence)     {}
-func (noReceiver) ReceiveCrash(poison.Fingerprint, string)       {}
+func (noReceiver) ReceiveCrash(poison.Crash)                     {}
 func (noReceiver) BlocksBesides(uint64) []poison.Block           { return nil }
 func (noReceiver) ReceiveBlocks([]poison.Block)                  {}
 func (noReceiver) LeavingBesides(uint64) []dispatch.Evidence     { return nil }
--- a/internal/vmpeer/zone_test.go
+++ b/internal/vmpeer/zone_test.go
@@ -114,7 +114,7 @@
 
 func (discardReceiver) ReceiveEvidence(string, dispatch.Evidence) {}
 func (discardReceiver) ReceiveHealthTransition(dispatch.Evidence) {}
-func (discardReceiver) ReceiveCrash(poison.Fingerprint, string)   {}
+func (discardReceiver) ReceiveCrash(poison.Crash)                 {}
 
 func (discardReceiver) BlocksBesides(uint64) []poison.Block        { return nil }
 func (discardReceiver) ReceiveBlocks([]poison.Block)               {}
