A request that has crashed a backend server is retried only after a look at what it has crashed meanwhile

What callers saw: several callers sent a request that crashes backend servers before its first crash was known. Each of these sends crashed a server, and was then retried on another one, though the request was blocked by then: up to twice as many servers as sends.

Cause: the attempt loop asked once, before its first attempt, whether the request may run.

The test failed before: TestCrashingRequestOfSeveralCallersIsNotRetried, identity_test.go:82: 6 sends reached backend servers 12 times and with the change at most 7: the first crash counts once, so that one retry may find out whether the server was the cause.

Change: after a crash the loop asks again. Begin returns a usable done also when its context ends.

Ruled out: no retry after any crash, which would fail the sound requests of a crashed server.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -37,6 +37,8 @@
 	// sent is the number of attempts in which the request was sent.
 	sent       int
 	mayHaveRun bool
+	// hasCrashed is set if the connection of the last backend server broke while it ran the request.
+	hasCrashed bool
 	lastResult Result
 	// reportedFailure is the first answer in which a backend server reported failure.
 	reportedFailure *Result
@@ -63,7 +65,7 @@
 	if !allowed {
 		return Result{Outcome: NotRun, Reason: reasonBlocked, RetryAfter: retryAfterBlocked}
 	}
-	defer done()
+	defer func() { done() }()
 	connectFailures := 0
 	for {
 		res, why := a.service.pick(r, a.deadline, a.tried, time.Now())
@@ -80,6 +82,13 @@
 		}
 		logevent.AttemptFailed.Log(a.dispatcher.options.Log).Str("request", r.ID).Str("service", r.Service).
 			Str("server", res.id).Str("reason", a.lastResult.Reason).Int("attempts", a.sent).Send()
+		if a.hasCrashed {
+			// The same request may have crashed other backend servers meanwhile, sent by other callers.
+			done()
+			if done, allowed = a.dispatcher.crashes.Begin(ctx, fingerprint); !allowed {
+				return a.result()
+			}
+		}
 	}
 }
 
@@ -120,6 +129,7 @@
 // attempt sends the request to the reserved backend server.
 func (a *attemptLoop) attempt(ctx context.Context, res *reservation, f poison.Fingerprint) nextStep {
 	answer, err := res.pool.Do(ctx, a.outboundRequest(res.id))
+	a.hasCrashed = false
 	a.lastResult = Result{Server: res.id, UnhealthyProbability: res.unhealthyProbability, IsTrial: res.isTrial}
 	if err != nil {
 		return a.afterError(ctx, res, f, err)
@@ -230,6 +240,7 @@
 		} else {
 			res.completeFailed()
 		}
+		a.hasCrashed = true
 		if crash, isNews := a.dispatcher.crashes.RecordCrash(f, res.id); isNews {
 			a.dispatcher.options.ShareCrash(crash)
 		}
--- a/internal/dispatch/identity_test.go
+++ b/internal/dispatch/identity_test.go
@@ -53,6 +53,36 @@
 	})
 }
 
+// TestCrashingRequestOfSeveralCallersIsNotRetried guards against a request that was sent several times before its first crash, and
+// whose sends are each retried though the others have crashed backend servers as well.
+func TestCrashingRequestOfSeveralCallersIsNotRetried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const sends = 6
+		s := newSim(t, 18, route.Idempotent, true)
+		for _, server := range s.servers {
+			server.crashes = true
+		}
+		time.Sleep(10 * time.Second)
+		var wait sync.WaitGroup
+		for n := range sends {
+			wait.Go(func() {
+				result := s.vms[n%2].Do(context.Background(), &dispatch.Request{
+					ID: fmt.Sprint(n), Method: http.MethodGet, URI: "/poison", Host: "h", Header: http.Header{}, Target: s.target,
+					Service: simService, Arrival: time.Now(),
+				})
+				qt.Check(t, result.Outcome, qt.Equals, dispatch.Unknown)
+			})
+			time.Sleep(crashDelay / sends / 2)
+		}
+		wait.Wait()
+		arrivals := 0
+		for _, server := range s.servers {
+			arrivals += len(server.arrived)
+		}
+		qt.Check(t, arrivals <= sends+1, qt.IsTrue, qt.Commentf("%d sends reached backend servers %d times", sends, arrivals))
+	})
+}
+
 // fakePools records by address which requests were sent and which connection pools were closed.
 type fakePools struct {
 	mu     sync.Mutex
--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -79,6 +79,9 @@
 	healthyFailureShare = 0.012
 )
 
+// crashDelay is how long a backend server runs a request that crashes it.
+const crashDelay = 50 * time.Millisecond
+
 // simProtocol names the headers of the simulation.
 var simProtocol = dispatch.Protocol{
 	RequestID: "X-Id", DeadlineMS: "X-Deadline", Signature: "X-Signature", ExpectedInstance: "X-Instance",
@@ -205,6 +208,7 @@
 	s.arrived = append(s.arrived, at)
 	s.mu.Unlock()
 	if s.crashes {
+		time.Sleep(crashDelay)
 		return nil, &backend.AttemptError{MayHaveStarted: true, Err: syscall.ECONNRESET}
 	}
 	select {
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -123,8 +123,7 @@
 func (r *Registry) IsEmpty() bool { return r.count.Load() == 0 }
 
 // Begin reports whether a request may be sent to a backend server. Requests that have crashed one backend server run
-// one at a time: Begin waits until the running one has ended or ctx is done. If the request is allowed, done must be
-// called when its attempt has ended.
+// one at a time: Begin waits until the running one has ended or ctx is done. done must be called when the attempt has ended.
 func (r *Registry) Begin(ctx context.Context, f Fingerprint) (done func(), allowed bool) {
 	for {
 		known, running, allowed := r.tryBegin(f)
@@ -134,7 +133,7 @@
 		select {
 		case <-running:
 		case <-ctx.Done():
-			return nil, false
+			return func() {}, false
 		}
 	}
 }
