Organisations: keys, names and priorities of callers

Cause: the gateway knew no organisation.

Change: a configuration may hold organisations, each with keys, a priority and an allowance. Package organisation keeps digests of keys only. ingress answers 401 to an unknown key and 503 while no configuration is known, never passes the key on, names the organisation whatever the caller sent, and lets its priority go before the route's. Rows with double names or keys, negative rates or names that no header can carry are refused with the organisation's name, and the old configuration goes on. Handlers take Options, with hooks for keys that may be stale and for allowances.

Ruled out: keeping the keys in memory (they would reach dumps); the organisation of a key on public routes, which need none.

Measured: unit tests only so far; TestBackendServersLearnTheOrganisationAndNeverTheKey fails without the change.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -60,7 +60,7 @@
 func (a *attemptLoop) run(ctx context.Context) Result {
 	a.tried = map[string]bool{}
 	r := a.request
-	fingerprint := poison.FingerprintOf("", r.Method, r.Host+r.URI, r.Body)
+	fingerprint := poison.FingerprintOf(r.Organisation, r.Method, r.Host+r.URI, r.Body)
 	done, allowed := a.dispatcher.crashes.Begin(ctx, fingerprint)
 	if !allowed {
 		return Result{Outcome: NotRun, Reason: reasonBlocked, RetryAfter: retryAfterBlocked}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -32,7 +32,11 @@
 	Target *route.Target
 	// Service is the service, one of the target's, that the request goes to.
 	Service string
-	Arrival time.Time
+	// Organisation is the name of the organisation whose key the request carried, empty if there is none.
+	Organisation string
+	// Priority is the rank of the request, that of its organisation or else of its route; 0 is the highest.
+	Priority int
+	Arrival  time.Time
 	// ConfigVersion is the version of the configuration that Target comes from.
 	ConfigVersion uint64
 	// CallerDeadline is when the caller stops waiting. Zero means no deadline.
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -207,10 +207,14 @@
 	})
 	listen.HTTPShort(lc, s.DirectoryListen, router(p.Paths.Resolve, directory))
 	listen.HTTPShort(lc, s.ReadyListen, router(p.Paths.Ready, readyHandler(state)))
-	handler := ingress.NewHandler(ingress.Headers{
-		RequestID: p.Headers.RequestID, DeadlineMS: p.Headers.DeadlineMS,
-		Internal: []string{p.Headers.ExpectedInstance, p.Headers.NotExecuted, p.Headers.Instance, p.Headers.Signature},
-	}, state.AwaitTable, state.IsEnding, in.Lag.IsOverloaded, in.Dispatcher, in.Metrics.RecordRequest, in.Rates, log)
+	handler := ingress.NewHandler(ingress.Options{
+		Headers: ingress.Headers{
+			RequestID: p.Headers.RequestID, DeadlineMS: p.Headers.DeadlineMS, Organisation: p.Headers.Organisation,
+			Internal: []string{p.Headers.ExpectedInstance, p.Headers.NotExecuted, p.Headers.Instance, p.Headers.Signature},
+		},
+		AwaitTable: state.AwaitTable, IsEnding: state.IsEnding, IsOverloaded: in.Lag.IsOverloaded, Dispatcher: in.Dispatcher,
+		RecordResult: in.Metrics.RecordRequest, Rates: in.Rates, Log: log,
+	})
 	// fx stops hooks in reverse order: the callers' listener must stop first, while the other components still run.
 	lc.Append(newCallerServer(p, state, in.Registrar, handler, endpoint.Announce, log).hook())
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -45,6 +45,13 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
+	// RevocationBound is the time after which no VM may serve a key that was taken away, whether or not it can hear of that. It is
+	// 0 if only VMs that hear of it are bound.
+	RevocationBound time.Duration
+	// The requests of an organisation in any QuotaWindow may exceed its allowance by the share QuotaOver and QuotaSlack requests.
+	QuotaWindow time.Duration
+	QuotaOver   float64
+	QuotaSlack  float64
 }
 
 // LiveSettings holds the settings in force, which may be reloaded while the process runs. It is safe for concurrent use.
@@ -105,6 +112,8 @@
 	Limit string
 	// Instance identifies the backend server that answers.
 	Instance string
+	// Organisation names the organisation of a request to backend servers.
+	Organisation string
 }
 
 // Paths holds the URL paths that the gateway of a VM serves.
--- a/internal/ingress/body_test.go
+++ b/internal/ingress/body_test.go
@@ -49,7 +49,7 @@
 
 // serveCallers serves callers' connections as a gateway does.
 func serveCallers(t *testing.T, d ingress.Dispatcher, awaitTable func(context.Context) *route.Table) string {
-	handler := ingress.NewHandler(headers, awaitTable, never, never, d, func(string, dispatch.Result, time.Duration) {}, ingress.NewRates(), zerolog.Nop())
+	handler := newHandler(d, func(o *ingress.Options) { o.AwaitTable = awaitTable })
 	server := callerconn.NewServer(callerconn.Options{
 		Handler: handler, Prepare: handler.Prepare, MayOverlap: handler.MayOverlap, BodyLimits: handler.BodyLimits,
 		IsClosing: func() bool { return false }, ReadHeaderTimeout: time.Second, IdleTimeout: time.Second, UnusedTimeout: time.Second,
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -28,6 +28,8 @@
 // Headers holds the names of the headers of callers' requests.
 type Headers struct {
 	RequestID, DeadlineMS string
+	// Organisation names the organisation of a request to backend servers, whatever the caller sets.
+	Organisation string
 	// Internal lists headers that callers may not set. They are removed from requests.
 	Internal []string
 }
@@ -37,35 +39,40 @@
 	Do(ctx context.Context, r *dispatch.Request) dispatch.Result
 }
 
+// Options configure a Handler.
+type Options struct {
+	Headers Headers
+	// AwaitTable returns the routes in force, or nil if no configuration is known. It may wait for the first one.
+	AwaitTable func(context.Context) *route.Table
+	// IsEnding reports whether the process is about to end and takes no further requests.
+	IsEnding func() bool
+	// IsOverloaded reports whether the process runs too late to answer further requests in time.
+	IsOverloaded func() bool
+	// MayServeKeys reports whether this VM can rely on its keys: none was taken away so long ago that it binds VMs that have not
+	// heard of it. If it is nil, this VM always can.
+	MayServeKeys func() bool
+	// Allowances limit the requests of organisations. If it is nil, there are no limits.
+	Allowances Allowances
+	Dispatcher Dispatcher
+	// RecordResult is called with the service, the result and the duration of each request that was dispatched.
+	RecordResult func(service string, r dispatch.Result, took time.Duration)
+	// Rates counts the requests of each host.
+	Rates *Rates
+	Log   zerolog.Logger
+}
+
 // Handler handles callers' requests.
-type Handler struct {
-	headers Headers
-	// awaitTable returns the routes in force, or nil if no configuration is known.
-	awaitTable func(context.Context) *route.Table
-	// isEnding reports whether the process is about to end and takes no further requests.
-	isEnding func() bool
-	// isOverloaded reports whether the process runs too late to answer further requests in time.
-	isOverloaded func() bool
-	dispatch     Dispatcher
-	// recordResult is called with the result of each request that was dispatched.
-	recordResult func(service string, r dispatch.Result, took time.Duration)
-	// rates counts the requests of each host.
-	rates *Rates
-	log   zerolog.Logger
-}
-
-// NewHandler returns a Handler. awaitTable returns the routes in force, or nil if no configuration is known; it may wait
-// for the first one. isEnding and isOverloaded report whether requests are refused because the process is about to end, or
-// because it runs too late to answer them in time. recordResult is
-// called with the service, the result and the duration of each request that was dispatched.
-func NewHandler(
-	h Headers, awaitTable func(context.Context) *route.Table, isEnding, isOverloaded func() bool, d Dispatcher,
-	recordResult func(string, dispatch.Result, time.Duration), rates *Rates, log zerolog.Logger,
-) *Handler {
-	return &Handler{
-		headers: h, awaitTable: awaitTable, isEnding: isEnding, isOverloaded: isOverloaded, dispatch: d, recordResult: recordResult,
-		rates: rates, log: log,
+type Handler struct{ Options }
+
+// NewHandler returns a Handler.
+func NewHandler(o Options) *Handler {
+	if o.MayServeKeys == nil {
+		o.MayServeKeys = func() bool { return true }
 	}
+	if o.Allowances == nil {
+		o.Allowances = unlimited{}
+	}
+	return &Handler{o}
 }
 
 const (
@@ -88,7 +95,7 @@
 		h.refuse(w, r, "no configuration is known", retryAfterNoConfig)
 		return
 	}
-	if h.isEnding() {
+	if h.IsEnding() {
 		h.refuse(w, r, "the VM is stopping", retryAfterStopping)
 		return
 	}
@@ -97,17 +104,31 @@
 		h.reject(w, r, http.StatusNotFound, "no route")
 		return
 	}
-	h.rates.Count(target.Host, arrival)
-	if h.isOverloaded() {
+	h.Rates.Count(target.Host, arrival)
+	if h.IsOverloaded() {
 		h.refuse(w, r, "the VM is overloaded", retryAfterOverloaded)
 		return
 	}
+	owner, refused := h.identify(r, table, target)
+	if refused.status == 0 {
+		refused = h.takeAllowance(owner, arrival)
+	}
+	if refused.status != 0 {
+		h.turnAway(w, r, refused)
+		return
+	}
 	request, status, reason := h.readRequest(w, r, table, target, arrival)
 	if status != 0 {
+		h.giveBackAllowance(owner)
 		h.reject(w, r, status, reason)
 		return
 	}
-	h.respond(w, request, h.dispatch.Do(r.Context(), request))
+	h.setOrganisation(request, table, owner)
+	result := h.Dispatcher.Do(r.Context(), request)
+	if result.Outcome == dispatch.NotRun {
+		h.giveBackAllowance(owner)
+	}
+	h.respond(w, request, result)
 }
 
 // tableKey is the context key of the routes by which a request is handled.
@@ -116,7 +137,7 @@
 // Prepare returns the request with the routes in force attached to its context. All further decisions on the request are made
 // by these, so that a configuration that comes into force meanwhile changes none of them halfway.
 func (h *Handler) Prepare(r *http.Request) *http.Request {
-	return r.WithContext(context.WithValue(r.Context(), tableKey{}, h.awaitTable(r.Context())))
+	return r.WithContext(context.WithValue(r.Context(), tableKey{}, h.AwaitTable(r.Context())))
 }
 
 // tableOf returns the routes by which a request is handled, or nil if no configuration was known when it was prepared.
@@ -124,13 +145,13 @@
 	if table, isPrepared := r.Context().Value(tableKey{}).(*route.Table); isPrepared {
 		return table
 	}
-	return h.awaitTable(r.Context())
+	return h.AwaitTable(r.Context())
 }
 
 // BodyLimits returns the maximum size in bytes of the body of a request, and the time within which it must be received.
 func (h *Handler) BodyLimits(r *http.Request) (bytes int64, within time.Duration) {
 	within = defaultBodyTimeout
-	if ms, err := strconv.ParseInt(r.Header.Get(h.headers.DeadlineMS), 10, 64); err == nil && ms >= 0 {
+	if ms, err := strconv.ParseInt(r.Header.Get(h.Headers.DeadlineMS), 10, 64); err == nil && ms >= 0 {
 		within = time.Duration(ms) * time.Millisecond
 	}
 	table := h.tableOf(r)
@@ -165,10 +186,10 @@
 // respond records and logs the result of a request and writes the response.
 func (h *Handler) respond(w http.ResponseWriter, r *dispatch.Request, result dispatch.Result) {
 	took := time.Since(r.Arrival)
-	h.recordResult(r.Service, result, took)
+	h.RecordResult(r.Service, result, took)
 	line := func(e logevent.Event) *zerolog.Event {
-		return e.Log(h.log).Str("request", r.ID).Str("route", r.Target.Name).Str("service", r.Service).
-			Uint64("config", r.ConfigVersion).Str("server", result.Server).Float64("sick", result.UnhealthyProbability).
+		return e.Log(h.Log).Str("request", r.ID).Str("route", r.Target.Name).Str("service", r.Service).
+			Uint64("config", r.ConfigVersion).Str("organisation", r.Organisation).Str("server", result.Server).Float64("sick", result.UnhealthyProbability).
 			Bool("trial", result.IsTrial).Int("attempts", result.Attempts).Dur("took_ms", took).Int("body_bytes", len(r.Body)).
 			Uint32("body_crc32", crc32.ChecksumIEEE(r.Body))
 	}
@@ -204,22 +225,36 @@
 	}
 	w.WriteHeader(answer.Status)
 	if _, err := answer.Body.WriteTo(w); err != nil {
-		logevent.RequestFailed.Log(h.log).Str("request", r.ID).Str("reason", "the answer could not be written").Err(err).Send()
+		logevent.RequestFailed.Log(h.Log).Str("request", r.ID).Str("reason", "the answer could not be written").Err(err).Send()
+	}
+}
+
+// turnAway responds to a request whose organisation is unknown, cannot be known, or has used up its allowance.
+func (h *Handler) turnAway(w http.ResponseWriter, r *http.Request, refused refusal) {
+	switch refused.status {
+	case http.StatusServiceUnavailable:
+		h.refuse(w, r, refused.reason, refused.retryAfter)
+		return
+	case http.StatusTooManyRequests:
+		writeRetryAfter(w, refused.retryAfter)
+	case http.StatusUnauthorized:
+		w.Header().Set("WWW-Authenticate", keyScheme)
 	}
+	h.reject(w, r, refused.status, refused.reason)
 }
 
 // refuse responds with 503: the request has not run, and the caller may send it again after the given time.
 func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, reason string, after time.Duration) {
-	id := r.Header.Get(h.headers.RequestID)
-	logevent.RequestRefused.Log(h.log).Str("request", id).Str("reason", reason).Send()
+	id := r.Header.Get(h.Headers.RequestID)
+	logevent.RequestRefused.Log(h.Log).Str("request", id).Str("reason", reason).Send()
 	writeRetryAfter(w, after)
 	h.writeResponse(w, id, http.StatusServiceUnavailable, reason)
 }
 
 // reject responds to a request that was not dispatched with the given status and no Retry-After.
 func (h *Handler) reject(w http.ResponseWriter, r *http.Request, status int, reason string) {
-	id := r.Header.Get(h.headers.RequestID)
-	logevent.RequestRefused.Log(h.log).Str("request", id).Int("status", status).Str("reason", reason).Send()
+	id := r.Header.Get(h.Headers.RequestID)
+	logevent.RequestRefused.Log(h.Log).Str("request", id).Int("status", status).Str("reason", reason).Send()
 	h.writeResponse(w, id, status, reason)
 }
 
@@ -227,13 +262,13 @@
 func (h *Handler) writeResponse(w http.ResponseWriter, id string, status int, reason string) {
 	out := w.Header()
 	if id != "" {
-		out.Set(h.headers.RequestID, id)
+		out.Set(h.Headers.RequestID, id)
 	}
 	out.Set("Content-Type", "text/plain; charset=utf-8")
 	out.Set("Content-Length", strconv.Itoa(len(reason)+1))
 	w.WriteHeader(status)
 	if _, err := io.WriteString(w, reason+"\n"); err != nil {
-		logevent.RequestFailed.Log(h.log).Str("request", id).Str("reason", "the refusal could not be written").Err(err).Send()
+		logevent.RequestFailed.Log(h.Log).Str("request", id).Str("reason", "the refusal could not be written").Err(err).Send()
 	}
 }
 
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -32,7 +32,7 @@
 	return s.do(ctx, r)
 }
 
-var headers = ingress.Headers{RequestID: "X-Id", DeadlineMS: "X-Deadline", Internal: []string{"X-Internal"}}
+var headers = ingress.Headers{RequestID: "X-Id", DeadlineMS: "X-Deadline", Organisation: "X-Organisation", Internal: []string{"X-Internal"}}
 
 func table(context.Context) *route.Table {
 	return route.NewTable(&route.Config{Limits: route.Limits{MaxBodyBytes: 10, MaxHeaderBytes: 200}, Routes: []route.Route{{
@@ -42,6 +42,16 @@
 
 func never() bool { return false }
 
+// newHandler returns a handler that takes all requests, except for what change sets.
+func newHandler(d ingress.Dispatcher, change func(*ingress.Options)) *ingress.Handler {
+	o := ingress.Options{
+		Headers: headers, AwaitTable: table, IsEnding: never, IsOverloaded: never, Dispatcher: d,
+		RecordResult: func(string, dispatch.Result, time.Duration) {}, Rates: ingress.NewRates(), Log: zerolog.Nop(),
+	}
+	change(&o)
+	return ingress.NewHandler(o)
+}
+
 func serve(t *testing.T, d *scriptedDispatcher, table func(context.Context) *route.Table) string {
 	return serveWith(t, d, table, never)
 }
@@ -49,8 +59,7 @@
 func serveWith(
 	t *testing.T, d *scriptedDispatcher, table func(context.Context) *route.Table, isOverloaded func() bool,
 ) string {
-	handler := ingress.NewHandler(headers, table, never, isOverloaded, d,
-		func(string, dispatch.Result, time.Duration) {}, ingress.NewRates(), zerolog.Nop())
+	handler := newHandler(d, func(o *ingress.Options) { o.AwaitTable, o.IsOverloaded = table, isOverloaded })
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
--- a/internal/ingress/read.go
+++ b/internal/ingress/read.go
@@ -21,7 +21,7 @@
 	if limit := table.Config.Limits.MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
 		return nil, http.StatusRequestHeaderFieldsTooLarge, "header too long"
 	}
-	id := r.Header.Get(h.headers.RequestID)
+	id := r.Header.Get(h.Headers.RequestID)
 	if id == "" {
 		return nil, http.StatusBadRequest, "no request id"
 	}
@@ -30,7 +30,7 @@
 		ConfigVersion: table.Config.Version,
 	}
 	bodyTimeout := defaultBodyTimeout
-	if text := r.Header.Get(h.headers.DeadlineMS); text != "" {
+	if text := r.Header.Get(h.Headers.DeadlineMS); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || ms < 0 {
 			return nil, http.StatusBadRequest, "unreadable deadline"
@@ -44,7 +44,7 @@
 	}
 	out.Body = body
 	out.Header = header.Strip(r.Header)
-	for _, name := range h.headers.Internal {
+	for _, name := range h.Headers.Internal {
 		out.Header.Del(name)
 	}
 	if _, named := out.Header["User-Agent"]; !named {
--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"github.com/primroseladder/primroseladder/internal/organisation"
 )
 
 // Kind states whether requests of a route can be run more than once.
@@ -41,6 +43,8 @@
 	Priority int
 	// MaxAttempts is the maximum number of backend servers that one request is sent to.
 	MaxAttempts int
+	// IsPublic is set if requests need no key although the configuration has organisations.
+	IsPublic bool
 	// Shares are the services among which requests are split; most routes have one.
 	Shares []Share
 }
@@ -66,6 +70,8 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Organisations are those whose keys callers must send, except on public routes. If it is nil, requests carry no keys.
+	Organisations *organisation.Directory
 }
 
 // Validate returns the first error of each invalid route, joined, or nil.
