Memory: one budget for what a VM holds for others

Cause: a body was read into a buffer that grows by copying and then copied again, without any limit over all requests; answers that slow callers had not taken were not counted; the runtime knew no limit.

Change: package membudget. Bodies are held once, at their announced size, and count in one budget with answers, 45 % of the memory of the settings.

TestBodiesShareTheMemory guards the decision.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -23,6 +23,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/primroseladder/primroseladder/internal/membudget"
 )
 
 // Request is a request to a backend server.
@@ -109,7 +111,7 @@
 	n, err := c.Conn.Read(p[:min(int64(len(p)), c.readBudget)])
 	c.readBudget -= int64(n)
 	if c.isReadingHeader && !c.takeHeaderMemory(int64(n)) {
-		return 0, ErrNoMemory
+		return 0, membudget.ErrExhausted
 	}
 	return n, err
 }
@@ -124,7 +126,7 @@
 	if more <= 0 {
 		return true
 	}
-	if !c.options.Memory.take(more) {
+	if !c.options.Memory.Take(more) {
 		return false
 	}
 	c.headerMemory += more
@@ -132,7 +134,7 @@
 }
 
 func (c *conn) releaseHeaderMemory() {
-	c.options.Memory.giveBack(c.headerMemory)
+	c.options.Memory.GiveBack(c.headerMemory)
 	c.headerBytes, c.headerMemory = 0, 0
 }
 
@@ -316,18 +318,18 @@
 
 // readBody reads the whole body, up to limit bytes. It takes the memory for all parts but the first from the budget while
 // it reads, so that endless bodies of many backend servers do not exhaust the memory of the process.
-func readBody(resp *http.Response, limit int64, budget *ByteBudget) (Body, error) {
+func readBody(resp *http.Response, limit int64, budget *membudget.Budget) (Body, error) {
 	size := int64(firstChunkBytes)
 	if resp.ContentLength >= 0 {
 		size = min(resp.ContentLength+1, bodyChunkBytes)
 	}
 	var full Body
-	defer func() { budget.giveBack(int64(len(full)) * bodyChunkBytes) }()
+	defer func() { budget.GiveBack(int64(len(full)) * bodyChunkBytes) }()
 	chunk, total := make([]byte, 0, size), int64(0)
 	for {
 		if len(chunk) == cap(chunk) {
-			if !budget.take(bodyChunkBytes) {
-				return nil, ErrNoMemory
+			if !budget.Take(bodyChunkBytes) {
+				return nil, membudget.ErrExhausted
 			}
 			full = append(full, chunk)
 			chunk = make([]byte, 0, bodyChunkBytes)
--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/primroseladder/primroseladder/internal/membudget"
 )
 
 // newEndlessPeer starts a backend server that reads the head of a request and answers with start, followed by piece until
@@ -56,7 +58,7 @@
 
 // newPatientPool returns a pool for a test in which many connections are opened at once on a busy machine: a request whose connection
 // is not made in time has not started, and shows nothing.
-func newPatientPool(address string, maxConns int, memory *ByteBudget) *Pool {
+func newPatientPool(address string, maxConns int, memory *membudget.Budget) *Pool {
 	options := newLenientPool("").options
 	options.MaxConns, options.Memory, options.Dialer = maxConns, memory, &net.Dialer{Timeout: endlessTestLimit}
 	return NewPoolWithOptions(address, options)
@@ -120,7 +122,7 @@
 	c := qt.New(t)
 	start := "HTTP/1.1 200 OK\r\n" + ownID + "\r\n"
 	address, read := newCountingEndlessPeer(t, start, strings.Repeat("x", 64<<10), 0)
-	budget := NewByteBudget(memory)
+	budget := membudget.New(memory)
 	pool := newPatientPool(address, requests, budget)
 	ctx, cancel := context.WithTimeout(context.Background(), endlessTestLimit)
 	defer cancel()
@@ -145,14 +147,14 @@
 	turnedAway := 0
 	for err := range noMemory {
 		c.Check(MayHaveStarted(err), qt.IsTrue, qt.Commentf("%v", err))
-		if errors.Is(err, ErrNoMemory) {
+		if errors.Is(err, membudget.ErrExhausted) {
 			turnedAway++
 		}
 	}
 	t.Logf("heap grew by %d MB, %d of %d answers exceeded the memory", (most-min(before, most))>>20, turnedAway, requests)
 	c.Check(turnedAway > 0, qt.IsTrue)
 	c.Check(most-min(before, most) < maxHeapGrowth, qt.IsTrue)
-	c.Check(budget.left.Load(), qt.Equals, int64(memory))
+	c.Check(budget.Used(), qt.Equals, int64(0))
 }
 
 // TestEndlessHeadsShareTheMemory lets many backend servers send a head without end at the same time, most of what a head may have at
@@ -176,7 +178,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			address, read := newCountingEndlessPeer(t, test.start, test.piece, 100*time.Millisecond)
-			budget := NewByteBudget(memory)
+			budget := membudget.New(memory)
 			pool := newPatientPool(address, requests, budget)
 			ctx, cancel := context.WithTimeout(context.Background(), endlessTestLimit)
 			defer cancel()
@@ -187,7 +189,7 @@
 				wait.Go(func() {
 					_, err := pool.Do(ctx, newRequest("own", http.MethodPost, "in"))
 					c.Check(MayHaveStarted(err), qt.IsTrue, qt.Commentf("%v", err))
-					if errors.Is(err, ErrNoMemory) {
+					if errors.Is(err, membudget.ErrExhausted) {
 						turnedAway.Add(1)
 					}
 				})
@@ -202,7 +204,7 @@
 			t.Logf("heap grew by %d KiB, %d of %d answers exceeded the memory", grown>>10, turnedAway.Load(), requests)
 			c.Check(turnedAway.Load() > 0, qt.IsTrue)
 			c.Check(grown < memory+requests*freeBytes, qt.IsTrue)
-			c.Check(budget.left.Load(), qt.Equals, int64(memory))
+			c.Check(budget.Used(), qt.Equals, int64(0))
 		})
 	}
 }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/primroseladder/primroseladder/internal/header"
+	"github.com/primroseladder/primroseladder/internal/membudget"
 	"github.com/primroseladder/primroseladder/internal/peererr"
 )
 
@@ -36,7 +37,7 @@
 	// the connection.
 	AllowUnframed bool
 	// Memory limits the memory for the answers that are being received, heads and bodies. Pools may share it; nil means no limit.
-	Memory *ByteBudget
+	Memory *membudget.Budget
 	// SkipMismatched skips answers that carry the ID of another request and waits for the right one.
 	SkipMismatched bool
 }
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -15,6 +15,7 @@
 	"golang.org/x/net/http/httpguts"
 
 	"github.com/primroseladder/primroseladder/internal/logevent"
+	"github.com/primroseladder/primroseladder/internal/membudget"
 )
 
 const (
@@ -266,34 +267,59 @@
 	}
 	limit, timeout := c.server.options.BodyLimits(r)
 	_ = c.raw.SetReadDeadline(time.Now().Add(timeout))
-	if r.Header.Get("Expect") == "100-continue" && !c.sendContinue() {
+	body, err := c.receiveBody(e, limit)
+	var tooLarge *http.MaxBytesError
+	if err != nil && !isTimeout(err) && !errors.As(err, &tooLarge) && !errors.Is(err, membudget.ErrExhausted) {
+		// The caller has left, or has sent what is not a body.
+		e.cancel()
+	}
+	r.Body = &receivedBody{Reader: bytes.NewReader(body), body: body, err: err}
+	return err == nil
+}
+
+// receiveBody reads a body of at most limit bytes. One that is announced as too large for the limit or for the memory that is left is
+// not read.
+func (c *conn) receiveBody(e *exchange, limit int64) (body []byte, err error) {
+	r := e.request
+	memory := c.server.options.Memory
+	switch {
+	case r.ContentLength > limit:
+		return nil, &http.MaxBytesError{Limit: limit}
+	case !memory.Has(r.ContentLength):
+		return nil, membudget.ErrExhausted
+	case r.Header.Get("Expect") == "100-continue" && !c.sendContinue():
 		// The connection has ended. Only this goroutine may read it.
-		r.Body = io.NopCloser(failingReader{net.ErrClosed})
-		return false
+		return nil, net.ErrClosed
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	body, e.heldBytes, err = memory.ReadAll(r.Body, r.ContentLength, limit)
 	e.bodyBytes = len(body)
-	isTooLarge := err == nil && int64(len(body)) > limit
-	if isTooLarge {
+	if err == nil && int64(len(body)) > limit {
 		err = &http.MaxBytesError{Limit: limit}
 	}
-	source := io.Reader(bytes.NewReader(body))
-	if err != nil {
-		source = io.MultiReader(source, failingReader{err})
-	}
-	if err != nil && !isTimeout(err) && !isTooLarge {
-		// The caller has left, or has sent what is not a body.
-		e.cancel()
-	}
-	r.Body = io.NopCloser(source)
-	return err == nil
+	return body, err
 }
 
-// failingReader is a reader that fails.
-type failingReader struct{ err error }
+// receivedBody is a body that has been read, followed by the error that ended it.
+type receivedBody struct {
+	*bytes.Reader
+	body []byte
+	err  error
+}
 
 // Read implements io.Reader.
-func (f failingReader) Read([]byte) (int, error) { return 0, f.err }
+func (b *receivedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) && b.err != nil {
+		err = b.err
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *receivedBody) Close() error { return nil }
+
+// Whole returns the body without copying it, and the error that ended it.
+func (b *receivedBody) Whole() ([]byte, error) { return b.body, b.err }
 
 // sendContinue tells the caller to send the body, after the answers to the earlier requests.
 func (c *conn) sendContinue() bool {
--- a/internal/callerconn/exchange.go
+++ b/internal/callerconn/exchange.go
@@ -20,6 +20,8 @@
 	cancel  context.CancelFunc
 	// bodyBytes is the size of the body that was read.
 	bodyBytes int
+	// heldBytes is the memory that the body has taken from Options.Memory.
+	heldBytes int64
 	// isLast is set if the connection must be closed after the answer. It is guarded by conn.mu once the exchange is
 	// pending.
 	isLast bool
@@ -102,6 +104,7 @@
 	if at := slices.Index(c.pending, e); at >= 0 {
 		c.pending = slices.Delete(c.pending, at, at+1)
 		c.pendingBytes -= e.bodyBytes
+		c.server.options.Memory.GiveBack(e.heldBytes)
 	}
 	c.wake()
 }
@@ -124,7 +127,11 @@
 	c.isLast = c.isLast || mustClose && !isLaterStarted
 	isLast := c.isLast
 	c.mu.Unlock()
+	memory, size := c.server.options.Memory, int64(w.body.Len())
+	// A caller that takes its answer slowly must not leave room for further bodies meanwhile.
+	memory.Charge(size)
 	err := c.write(w.encode(e.request.Method, isLast))
+	memory.GiveBack(size)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -21,6 +21,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/primroseladder/primroseladder/internal/logevent"
+	"github.com/primroseladder/primroseladder/internal/membudget"
 	"github.com/primroseladder/primroseladder/internal/periodic"
 )
 
@@ -53,7 +54,10 @@
 	MaxPending int
 	// MaxPendingBytes is the size of the bodies of these requests from which no further request is read.
 	MaxPendingBytes int
-	Log             zerolog.Logger
+	// Memory limits the bodies that are held until their requests are answered. Answers that callers have not taken count too. Nil
+	// means no limit.
+	Memory *membudget.Budget
+	Log    zerolog.Logger
 }
 
 // Server serves the connections of callers. It is safe for concurrent use.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 
 	"github.com/primroseladder/primroseladder/internal/backend"
 	"github.com/primroseladder/primroseladder/internal/evidence"
+	"github.com/primroseladder/primroseladder/internal/membudget"
 	"github.com/primroseladder/primroseladder/internal/poison"
 	"github.com/primroseladder/primroseladder/internal/roster"
 	"github.com/primroseladder/primroseladder/internal/route"
@@ -125,6 +126,8 @@
 	// Regions maps each zone to its region.
 	Regions  map[string]string
 	Protocol Protocol
+	// Memory limits the answers that are being received. If it is nil, they have a limit of their own.
+	Memory *membudget.Budget
 	// Connect returns the connection pool of a backend server. If it is nil, pools open TCP connections.
 	Connect func(to roster.Server, maxConnections int) ConnectionPool
 	// ShareEvidence is called with each evidence of this VM. It must not block.
@@ -156,7 +159,7 @@
 	services map[string]*service
 }
 
-// answerMemoryBytes limits the memory for the answers that are being received. The smallest VMs have 184 MB.
+// answerMemoryBytes limits the answers that are being received where Options.Memory sets no limit.
 const answerMemoryBytes = 32 << 20
 
 // New returns a dispatcher without backend servers.
@@ -167,8 +170,11 @@
 	if o.AskHealth == nil {
 		o.AskHealth = func(string) bool { return false }
 	}
+	if o.Memory == nil {
+		o.Memory = membudget.New(answerMemoryBytes)
+	}
 	if o.Connect == nil {
-		o.Connect = o.connectTCP(backend.NewByteBudget(answerMemoryBytes))
+		o.Connect = o.connectTCP()
 	}
 	if o.Crashes == nil {
 		o.Crashes = poison.NewRegistry(poison.DefaultWindow)
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -167,8 +167,8 @@
 }
 
 // connectTCP returns a function that returns pools of TCP connections, which share the memory for answers.
-func (o *Options) connectTCP(memory *backend.ByteBudget) func(roster.Server, int) ConnectionPool {
-	protocol := o.Protocol
+func (o *Options) connectTCP() func(roster.Server, int) ConnectionPool {
+	protocol, memory := o.Protocol, o.Memory
 	return func(to roster.Server, maxConnections int) ConnectionPool {
 		return backend.NewPoolWithOptions(to.Address, backend.Options{
 			MaxConns: maxConnections, RequestIDHeader: protocol.RequestID, MaxIdle: maxIdle, Memory: memory,
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -12,6 +12,7 @@
 	"github.com/primroseladder/primroseladder/internal/ingress"
 	"github.com/primroseladder/primroseladder/internal/logevent"
 	"github.com/primroseladder/primroseladder/internal/membership"
+	"github.com/primroseladder/primroseladder/internal/membudget"
 	"github.com/primroseladder/primroseladder/internal/peererr"
 	"github.com/primroseladder/primroseladder/internal/periodic"
 )
@@ -59,7 +60,8 @@
 }
 
 func newCallerServer(
-	p *Platform, state *State, r *membership.Registrar, handler *ingress.Handler, announce func(), log zerolog.Logger,
+	p *Platform, state *State, r *membership.Registrar, handler *ingress.Handler, announce func(), memory *membudget.Budget,
+	log zerolog.Logger,
 ) *callerServer {
 	return &callerServer{settings: p.Settings, state: state, registrar: r, announce: announce, log: log, server: callerconn.NewServer(
 		callerconn.Options{
@@ -67,7 +69,7 @@
 			RequestIDHeader:   p.Headers.RequestID,
 			ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, UnusedTimeout: unusedTimeout,
 			WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes, MaxPending: maxPending,
-			MaxPendingBytes: maxPendingBytes, Log: log,
+			MaxPendingBytes: maxPendingBytes, Memory: memory, Log: log,
 		},
 	)}
 }
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -16,6 +17,7 @@
 	"github.com/primroseladder/primroseladder/internal/lag"
 	"github.com/primroseladder/primroseladder/internal/listen"
 	"github.com/primroseladder/primroseladder/internal/membership"
+	"github.com/primroseladder/primroseladder/internal/membudget"
 	"github.com/primroseladder/primroseladder/internal/metrics"
 	"github.com/primroseladder/primroseladder/internal/mirror"
 	"github.com/primroseladder/primroseladder/internal/periodic"
@@ -47,7 +49,7 @@
 	return fx.Options(
 		fx.Supply(p, p.Settings, p.Settings.Get(), log),
 		fx.Provide(
-			newSelf, newFleet, newBlocks, func() *poison.Registry { return poison.NewRegistry(poison.DefaultWindow) },
+			newSelf, newFleet, newBlocks, newMemory, func() *poison.Registry { return poison.NewRegistry(poison.DefaultWindow) },
 			NewGroups, newEndpoint, newDispatcher, newMirror, metrics.New, ingress.NewRates, lag.NewMonitor,
 			func(
 				d *dispatch.Dispatcher, f *membership.Fleet, b *blocklist.List, self membership.Member, r *membership.Registrar,
@@ -83,6 +85,26 @@
 	}
 }
 
+const (
+	// heldShare is the share of a VM's memory that is held for callers and backend servers at most. The rest is for the copies of the
+	// store, the connections, and what the garbage collector has not freed yet.
+	heldShare = 0.45
+	// collectShare is the share of a VM's memory from which the garbage collector runs without a pause.
+	collectShare = 0.85
+	// defaultHeldBytes is what is held at most on a VM without a limit of its memory.
+	defaultHeldBytes = 64 << 20
+)
+
+// newMemory returns the budget for the bytes that this VM holds for callers and backend servers, and sets the limit of the runtime.
+func newMemory(s *Settings) *membudget.Budget {
+	if s.MemoryMB <= 0 {
+		return membudget.New(defaultHeldBytes)
+	}
+	bytes := float64(s.MemoryMB << 20)
+	debug.SetMemoryLimit(int64(collectShare * bytes))
+	return membudget.New(int64(heldShare * bytes))
+}
+
 func newFleet(self membership.Member, s *Settings, log zerolog.Logger) *membership.Fleet {
 	return membership.New(self, s.Regions, log)
 }
@@ -102,7 +124,8 @@
 }
 
 func newDispatcher(
-	p *Platform, endpoint *vmpeer.Endpoint, g *Groups, m *metrics.Metrics, crashes *poison.Registry, log zerolog.Logger,
+	p *Platform, endpoint *vmpeer.Endpoint, g *Groups, m *metrics.Metrics, crashes *poison.Registry,
+	memory *membudget.Budget, log zerolog.Logger,
 ) *dispatch.Dispatcher {
 	s, h := p.Settings.Get(), p.Headers
 	return dispatch.New(dispatch.Options{
@@ -116,6 +139,7 @@
 			m.RecordSentEvidence(e)
 			endpoint.SendEvidence(e)
 		},
+		Memory:     memory,
 		Crashes:    crashes,
 		ShareCrash: endpoint.SendCrash,
 		Serves:     g.Serves, AskHealth: endpoint.AskHealth,
@@ -167,7 +191,9 @@
 	// Rates are sent to the other VMs of the zone in heartbeats.
 	Rates *ingress.Rates
 	Lag   *lag.Monitor
-	Log   zerolog.Logger
+	// Memory bounds what this VM holds for callers and backend servers.
+	Memory *membudget.Budget
+	Log    zerolog.Logger
 }
 
 // maxReportedAgeMS limits the age of the copy in heartbeats, in milliseconds. A copy that was never complete has this age.
@@ -216,7 +242,7 @@
 		RecordResult: in.Metrics.RecordRequest, Rates: in.Rates, Log: log,
 	})
 	// fx stops hooks in reverse order: the callers' listener must stop first, while the other components still run.
-	lc.Append(newCallerServer(p, state, in.Registrar, handler, endpoint.Announce, log).hook())
+	lc.Append(newCallerServer(p, state, in.Registrar, handler, endpoint.Announce, in.Memory, log).hook())
 }
 
 func callerAddresses(members []membership.Member) []string {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -34,6 +34,8 @@
 	IsFirstStart bool
 	// Cores is the number of processor cores, or the share of one, that the VM has.
 	Cores float64
+	// MemoryMB is the memory in MiB above which the platform ends the process, 0 if it does not.
+	MemoryMB int64
 	// LinkMbps is the rate of the VM's network link in Mbit/s.
 	LinkMbps float64
 	// Grace is the time between the order to stop and the forced end of the process.
--- a/internal/ingress/body_test.go
+++ b/internal/ingress/body_test.go
@@ -20,6 +20,7 @@
 	"github.com/primroseladder/primroseladder/internal/callerconn"
 	"github.com/primroseladder/primroseladder/internal/dispatch"
 	"github.com/primroseladder/primroseladder/internal/ingress"
+	"github.com/primroseladder/primroseladder/internal/membudget"
 	"github.com/primroseladder/primroseladder/internal/poison"
 	"github.com/primroseladder/primroseladder/internal/roster"
 	"github.com/primroseladder/primroseladder/internal/route"
@@ -49,11 +50,17 @@
 
 // serveCallers serves callers' connections as a gateway does.
 func serveCallers(t *testing.T, d ingress.Dispatcher, awaitTable func(context.Context) *route.Table) string {
+	return serveCallersWith(t, d, awaitTable, nil)
+}
+
+func serveCallersWith(
+	t *testing.T, d ingress.Dispatcher, awaitTable func(context.Context) *route.Table, memory *membudget.Budget,
+) string {
 	handler := newHandler(d, func(o *ingress.Options) { o.AwaitTable = awaitTable })
 	server := callerconn.NewServer(callerconn.Options{
 		Handler: handler, Prepare: handler.Prepare, MayOverlap: handler.MayOverlap, BodyLimits: handler.BodyLimits,
 		IsClosing: func() bool { return false }, ReadHeaderTimeout: time.Second, IdleTimeout: time.Second, UnusedTimeout: time.Second,
-		WriteTimeout: time.Second, MaxHeaderBytes: 1 << 16, MaxPending: 16, MaxPendingBytes: 1 << 20, Log: zerolog.Nop(),
+		WriteTimeout: time.Second, MaxHeaderBytes: 1 << 16, MaxPending: 16, MaxPendingBytes: 1 << 20, Memory: memory, Log: zerolog.Nop(),
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
@@ -228,3 +235,41 @@
 		}
 	}
 }
+
+// dispatcherFunc answers requests that arrive at the same time.
+type dispatcherFunc func(context.Context, *dispatch.Request) dispatch.Result
+
+func (f dispatcherFunc) Do(ctx context.Context, r *dispatch.Request) dispatch.Result {
+	return f(ctx, r)
+}
+
+// TestBodiesShareTheMemory sends more and larger bodies at a time than the memory holds. Those that do not fit are refused as not run,
+// without being read, and small requests beside them are served.
+func TestBodiesShareTheMemory(t *testing.T) {
+	c := qt.New(t)
+	const limit = 1 << 20
+	memory := membudget.New(limit)
+	release := make(chan struct{})
+	d := dispatcherFunc(func(_ context.Context, r *dispatch.Request) dispatch.Result {
+		if len(r.Body) > 1000 {
+			<-release
+		}
+		return dispatch.Result{Outcome: dispatch.Unknown, Reason: "served"}
+	})
+	address := serveCallersWith(t, d, func(context.Context) *route.Table { return tableWithBodyLimit(limit) }, memory)
+	post := func(size int) int {
+		raw := fmt.Sprintf("POST /x/1 HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+		response, _ := exchange(t, address, raw)
+		return response.StatusCode
+	}
+	held := make(chan int)
+	go func() { held <- post(600_000) }()
+	for memory.Used() < 600_000 {
+		time.Sleep(time.Millisecond)
+	}
+	c.Check(post(600_000), qt.Equals, http.StatusServiceUnavailable)
+	c.Check(post(900), qt.Equals, http.StatusBadGateway)
+	close(release)
+	c.Check(<-held, qt.Equals, http.StatusBadGateway)
+	c.Check(post(600_000), qt.Equals, http.StatusBadGateway)
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -83,6 +83,8 @@
 	retryAfterStopping = minRetryAfter
 	// retryAfterOverloaded is the retry delay while this VM is overloaded. Other VMs serve at once.
 	retryAfterOverloaded = minRetryAfter
+	// retryAfterNoMemory is the retry delay while the memory for bodies is used up. They leave it within the time of a request.
+	retryAfterNoMemory = 500 * time.Millisecond
 	// defaultBodyTimeout limits the time to receive the body of a request without a deadline.
 	defaultBodyTimeout = 10 * time.Second
 )
@@ -120,7 +122,7 @@
 	request, status, reason := h.readRequest(w, r, table, target, arrival)
 	if status != 0 {
 		h.giveBackAllowance(owner)
-		h.reject(w, r, status, reason)
+		h.turnAway(w, r, refusal{status, reason, retryAfterNoMemory})
 		return
 	}
 	h.setOrganisation(request, table, owner)
@@ -229,7 +231,7 @@
 	}
 }
 
-// turnAway responds to a request whose organisation is unknown, cannot be known, or has used up its allowance.
+// turnAway responds to a request that is not dispatched.
 func (h *Handler) turnAway(w http.ResponseWriter, r *http.Request, refused refusal) {
 	switch refused.status {
 	case http.StatusServiceUnavailable:
--- a/internal/ingress/read.go
+++ b/internal/ingress/read.go
@@ -10,6 +10,7 @@
 
 	"github.com/primroseladder/primroseladder/internal/dispatch"
 	"github.com/primroseladder/primroseladder/internal/header"
+	"github.com/primroseladder/primroseladder/internal/membudget"
 	"github.com/primroseladder/primroseladder/internal/route"
 )
 
@@ -79,12 +80,14 @@
 	if err := control.SetReadDeadline(time.Now().Add(within)); err != nil {
 		return nil, http.StatusInternalServerError
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := readWhole(w, r, limit)
 	var tooLarge *http.MaxBytesError
 	var timeout net.Error
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, http.StatusRequestEntityTooLarge
+	case errors.Is(err, membudget.ErrExhausted):
+		return nil, http.StatusServiceUnavailable
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return nil, http.StatusRequestTimeout
 	case err != nil:
@@ -95,3 +98,11 @@
 	}
 	return body, 0
 }
+
+// readWhole returns the body of a request, without a copy if the connection has received it already.
+func readWhole(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	if received, ok := r.Body.(interface{ Whole() ([]byte, error) }); ok {
+		return received.Whole()
+	}
+	return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+}
--- a/internal/run/runner.go
+++ b/internal/run/runner.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/primroseladder/primroseladder/internal/admission"
-	"github.com/primroseladder/primroseladder/internal/backend"
 	"github.com/primroseladder/primroseladder/internal/catalogue"
 	"github.com/primroseladder/primroseladder/internal/fleet"
+	"github.com/primroseladder/primroseladder/internal/membudget"
 	"github.com/primroseladder/primroseladder/internal/outcome"
 	"github.com/primroseladder/primroseladder/internal/poison"
 	"github.com/primroseladder/primroseladder/internal/request"
@@ -34,7 +34,7 @@
 	poison      *poison.Registry
 	crashSharer CrashSharer
 	// answerMemory limits the memory for the answers that are being received by all services.
-	answerMemory *backend.ByteBudget
+	answerMemory *membudget.Budget
 
 	mu       sync.RWMutex
 	services map[string]*Service
@@ -48,7 +48,7 @@
 ) *Runner {
 	r := &Runner{
 		region: region, health: options, holder: holder, gate: gate, poison: poisonRegistry, crashSharer: crashSharer,
-		answerMemory: backend.NewByteBudget(answerMemoryBytes), services: map[string]*Service{},
+		answerMemory: membudget.New(answerMemoryBytes), services: map[string]*Service{},
 	}
 	holder.OnChange(r.adopt)
 	return r
--- a/internal/run/service.go
+++ b/internal/run/service.go
@@ -14,6 +14,7 @@
 	"github.com/primroseladder/primroseladder/internal/catalogue"
 	"github.com/primroseladder/primroseladder/internal/fleet"
 	"github.com/primroseladder/primroseladder/internal/health"
+	"github.com/primroseladder/primroseladder/internal/membudget"
 	"github.com/primroseladder/primroseladder/internal/placement"
 )
 
@@ -24,7 +25,7 @@
 	// announceDraining reports to all VMs that a backend server accepts no new work. It may be nil.
 	announceDraining func(backend fleet.VM)
 	// answerMemory limits the memory for the answers that are being received. All services share it.
-	answerMemory *backend.ByteBudget
+	answerMemory *membudget.Budget
 
 	mu       sync.Mutex
 	entry    *catalogue.Entry
@@ -53,7 +54,7 @@
 	consecutiveSheds int
 }
 
-func newService(region string, e *catalogue.Entry, options *HealthOptions, answerMemory *backend.ByteBudget) *Service {
+func newService(region string, e *catalogue.Entry, options *HealthOptions, answerMemory *membudget.Budget) *Service {
 	s := &Service{
 		region: region, entry: e, answerMemory: answerMemory,
 		queue:    admission.NewQueue[*ticket](e.Limits.QueueLength),
