Keys that are taken away hold on every VM, in touch with the store or not

Cause: a VM served the keys of its last configuration for as long as it had one.

Change: where the settings bind all VMs, a VM serves keys only while it holds a proof of freshness: that no configuration newer than V had been acknowledged at T. T is the time, on a clock that counts suspensions, at which a linearizable read of the store was sent; or that of a question to another VM, less the age in the answer, tied together by a nonce (package freshness, gateway.KeyProofs, datagrams 11 and 12). The decision is made when the header of a request is read and kept with its configuration: checked later, the proof of a newer configuration let a request run by old keys while its body was read. VMs without a proof answer 503 to requests with keys, serve public routes, and say so in heartbeats, so that callers get other addresses. 401 is given only while the configuration is current. Earlier deployments, whose bound is 0, ask nothing and read the store as before.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -7,15 +7,17 @@
 
 	"github.com/primroseladder/primroseladder/internal/blocklist"
 	"github.com/primroseladder/primroseladder/internal/dispatch"
+	"github.com/primroseladder/primroseladder/internal/freshness"
 	"github.com/primroseladder/primroseladder/internal/listen"
 	"github.com/primroseladder/primroseladder/internal/metrics"
 )
 
-// countingReceiver is a vmpeer.Receiver that counts received evidence and passes it to the dispatcher, and blocks to the list of
-// blocked requests.
+// countingReceiver is a vmpeer.Receiver that counts received evidence and passes it to the dispatcher, blocks to the list of
+// blocked requests, and proofs to those of the keys.
 type countingReceiver struct {
 	*dispatch.Dispatcher
 	*blocklist.List
+	*KeyProofs
 	metrics *metrics.Metrics
 }
 
@@ -42,6 +44,12 @@
 	m.RegisterGauge("copy_age_seconds", "Time since the copy of the store was last known to be complete.", func() float64 {
 		return in.Copy.Age(time.Now()).Seconds()
 	})
+	m.RegisterGauge("key_proof_age_seconds", "Age of the proof that the keys are current; -1 for none.", func() float64 {
+		if age := in.Proofs.Age(); age != freshness.NoAge {
+			return age.Seconds()
+		}
+		return -1
+	})
 	m.RegisterGauge("lag_seconds", "How late this process runs.", func() float64 { return in.Lag.Lag().Seconds() })
 	m.RegisterGauge("config_version", "Version of the configuration in force; 0 for none.", func() float64 {
 		if table := in.State.Table(); table != nil {
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -22,6 +22,7 @@
 	"github.com/primroseladder/primroseladder/internal/mirror"
 	"github.com/primroseladder/primroseladder/internal/periodic"
 	"github.com/primroseladder/primroseladder/internal/poison"
+	"github.com/primroseladder/primroseladder/internal/route"
 	"github.com/primroseladder/primroseladder/internal/vmpeer"
 )
 
@@ -50,7 +51,7 @@
 		fx.Supply(p, p.Settings, p.Settings.Get(), log),
 		fx.Provide(
 			newSelf, newFleet, newBlocks, newMemory, func() *poison.Registry { return poison.NewRegistry(poison.DefaultWindow) },
-			NewGroups, newEndpoint, newDispatcher, newMirror, metrics.New, ingress.NewRates, lag.NewMonitor,
+			NewGroups, newEndpoint, newDispatcher, newMirror, metrics.New, ingress.NewRates, lag.NewMonitor, newKeyProofs,
 			func(
 				d *dispatch.Dispatcher, f *membership.Fleet, b *blocklist.List, self membership.Member, r *membership.Registrar,
 			) *State {
@@ -161,14 +162,16 @@
 }
 
 func newMirror(
-	p *Platform, c *mirror.Copy, f *membership.Fleet, r *membership.Registrar, endpoint *vmpeer.Endpoint, log zerolog.Logger,
+	p *Platform, c *mirror.Copy, f *membership.Fleet, r *membership.Registrar, endpoint *vmpeer.Endpoint, k *KeyProofs,
+	log zerolog.Logger,
 ) *mirror.Mirror {
 	return mirror.New(mirror.Options{
 		Store: p.Store, Copy: c, Peers: mirrorPeers{f}, Fetcher: vmpeer.NewFetcher(),
 		ZonePrefix:        membership.ZonePrefix(p.Settings.Get().Zone),
 		FirstReadersAfter: membership.FirstReadersAfter(p.Settings.Get().Zone),
 		Registered:        r.Registered(), IsFirstStart: p.Settings.Get().IsFirstStart,
-		IsResumed: r.IsResumed, OnStateChange: endpoint.Announce, OnConfirm: endpoint.SendToZoneRelays, Log: log,
+		IsResumed: r.IsResumed, OnStateChange: endpoint.Announce, OnConfirm: endpoint.SendToZoneRelays,
+		BeginRead: k.BeginRead, MustRead: k.MustRead, WatchWait: watchWait(p.Settings.Get()), Log: log,
 	})
 }
 
@@ -187,6 +190,7 @@
 	Mirror     *mirror.Mirror
 	Registrar  *membership.Registrar
 	Blocks     *blocklist.List
+	Proofs     *KeyProofs
 	Metrics    *metrics.Metrics
 	// Rates are sent to the other VMs of the zone in heartbeats.
 	Rates *ingress.Rates
@@ -208,6 +212,7 @@
 	self.IsStoreUnreachable = c.Mirror.IsStoreUnreachable()
 	self.IsReader = c.Fleet.ReaderRank() == 0
 	self.IsWithoutConfig = c.State.Table() == nil
+	self.IsUnproven = c.Proofs.IsUnproven()
 	at := c.Copy.Position()
 	self.Revision, self.Era = at.Revision, at.Era
 	self.AgeMS = min(c.Copy.Age(time.Now()).Milliseconds(), maxReportedAgeMS)
@@ -219,13 +224,16 @@
 	in.Groups.SetTableSource(state.Table)
 	lc.Append(fx.StopHook(endpoint.Close))
 	endpoint.SetSelf(in.currentMember)
-	listen.Background(lc, func(context.Context) { go endpoint.Receive(countingReceiver{in.Dispatcher, in.Blocks, in.Metrics}) })
+	listen.Background(lc, func(context.Context) {
+		go endpoint.Receive(countingReceiver{in.Dispatcher, in.Blocks, in.Proofs, in.Metrics})
+	})
 	serveMetrics(lc, in)
 	listen.HTTPShort(lc, s.PeerListen, vmpeer.FeedHandler(mirror.NewFeed(in.Copy)))
 	listen.Background(lc, in.Mirror.Run)
 	listen.Background(lc, in.Registrar.Run)
 	listen.Background(lc, endpoint.SendHeartbeats)
 	listen.Background(lc, in.Blocks.Run)
+	listen.Background(lc, in.Proofs.Run)
 	listen.Background(lc, in.Lag.Run)
 	listen.Background(lc, func(ctx context.Context) { periodic.Run(ctx, expireInterval, in.Dispatcher.ExpireCrashes) })
 	directory := p.NewDirectory(func(host, zone string) ([]string, time.Duration) {
@@ -238,7 +246,14 @@
 			RequestID: p.Headers.RequestID, DeadlineMS: p.Headers.DeadlineMS, Organisation: p.Headers.Organisation,
 			Internal: []string{p.Headers.ExpectedInstance, p.Headers.NotExecuted, p.Headers.Instance, p.Headers.Signature},
 		},
-		AwaitTable: state.AwaitTable, IsEnding: state.IsEnding, IsOverloaded: in.Lag.IsOverloaded, Dispatcher: in.Dispatcher,
+		AwaitTable: func(ctx context.Context) *route.Table {
+			if state.AwaitTable(ctx) != nil {
+				in.Proofs.AwaitFirst(ctx)
+			}
+			return state.Table()
+		},
+		IsEnding: state.IsEnding, IsOverloaded: in.Lag.IsOverloaded, Dispatcher: in.Dispatcher,
+		KeyState: in.Proofs.KeyState, CountRefusedKey: in.Metrics.RecordRefusedKey,
 		RecordResult: in.Metrics.RecordRequest, Rates: in.Rates, Log: log,
 	})
 	// fx stops hooks in reverse order: the callers' listener must stop first, while the other components still run.
--- a/internal/ingress/identify.go
+++ b/internal/ingress/identify.go
@@ -34,24 +34,56 @@
 }
 
 // identify returns the organisation whose key the request carries, or nil if the request needs no key.
-func (h *Handler) identify(r *http.Request, table *route.Table, target *route.Target) (*organisation.Organisation, refusal) {
+func (h *Handler) identify(r *http.Request, basis basis, target *route.Target) (*organisation.Organisation, refusal) {
+	table := basis.table
 	if table.Config.Organisations == nil || target.IsPublic {
 		return nil, refusal{}
 	}
-	if !h.MayServeKeys() {
+	if !basis.keys.MayServe {
+		h.CountRefusedKey(RefusedUnproven)
 		return nil, refusal{http.StatusServiceUnavailable, "the VM cannot show that its keys are current", retryAfterUnproven}
 	}
 	key, ok := keyOf(r.Header)
+	if ok {
+		if o := table.Config.Organisations.FindByKey(key); o != nil {
+			return o, refusal{}
+		}
+	}
+	if !basis.keys.IsCurrent {
+		// The key, or a route that needs none, may just have been added.
+		h.CountRefusedKey(RefusedNotCurrent)
+		return nil, refusal{http.StatusServiceUnavailable, "the key is unknown here and the VM's configuration may be old", retryAfterUnproven}
+	}
+	h.CountRefusedKey(RefusedUnknown)
 	if !ok {
 		return nil, refusal{status: http.StatusUnauthorized, reason: "no key"}
 	}
-	o := table.Config.Organisations.FindByKey(key)
-	if o == nil {
-		return nil, refusal{status: http.StatusUnauthorized, reason: "unknown key " + organisation.DigestOf(key).String()}
-	}
-	return o, refusal{}
+	return nil, refusal{status: http.StatusUnauthorized, reason: "unknown key " + organisation.DigestOf(key).String()}
+}
+
+// KeyState is what a VM may do with the keys of its configuration.
+type KeyState struct {
+	// MayServe is set if none was taken away so long ago that it binds VMs that have not heard of it.
+	MayServe bool
+	// IsCurrent is set if a key that the configuration does not hold is certainly unknown.
+	IsCurrent bool
+	// ProofAge is how long ago the keys were known to be current, negative if they never were.
+	ProofAge time.Duration
 }
 
+// KeyRefusal is the reason why a request was refused because of its key.
+type KeyRefusal string
+
+// Reasons of refusals.
+const (
+	// RefusedUnknown means that the configuration does not hold the key, or that there was none.
+	RefusedUnknown KeyRefusal = "unknown"
+	// RefusedNotCurrent is the same while a newer configuration may exist.
+	RefusedNotCurrent KeyRefusal = "not_current"
+	// RefusedUnproven means that the VM could not show that no key was taken away.
+	RefusedUnproven KeyRefusal = "unproven"
+)
+
 // keyOf returns the key that the request carries. A request with several Authorization headers has none, since it is not clear
 // whose it is.
 func keyOf(h http.Header) (key string, ok bool) {
--- a/internal/ingress/identify_test.go
+++ b/internal/ingress/identify_test.go
@@ -91,7 +91,7 @@
 func TestPublicRoutesNeedNoKey(t *testing.T) {
 	c := qt.New(t)
 	d := &scriptedDispatcher{do: refusing}
-	address := serveKeyed(t, d, func(o *ingress.Options) { o.MayServeKeys = never })
+	address := serveKeyed(t, d, func(o *ingress.Options) { o.KeyState = func(uint64) ingress.KeyState { return ingress.KeyState{} } })
 	exchange(t, address, strings.Replace(get, "/x/", "/public/", 1)+"Authorization: Bearer k1\r\nX-Organisation: forged\r\n\r\n")
 	c.Assert(d.received, qt.HasLen, 1)
 	c.Check(d.received[0].Header.Values("X-Organisation"), qt.HasLen, 0)
@@ -122,3 +122,45 @@
 	c.Check(response.Header.Get("Retry-After"), qt.Equals, "0.700")
 	c.Check(d.received, qt.HasLen, 2)
 }
+
+// TestUnknownKeyIsRejectedOnlyIfTheConfigurationIsCurrent checks that a key, or a public route, that may just have been added is no
+// reason for a 401, which callers do not retry.
+func TestUnknownKeyIsRejectedOnlyIfTheConfigurationIsCurrent(t *testing.T) {
+	c := qt.New(t)
+	d := &scriptedDispatcher{do: refusing}
+	counted := map[ingress.KeyRefusal]int{}
+	address := serveKeyed(t, d, func(o *ingress.Options) {
+		o.KeyState = func(uint64) ingress.KeyState { return ingress.KeyState{MayServe: true} }
+		o.CountRefusedKey = func(r ingress.KeyRefusal) { counted[r]++ }
+	})
+	for _, key := range []string{"", "Authorization: Bearer k2\r\n"} {
+		response, _ := exchange(t, address, get+key+"\r\n")
+		c.Check(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	}
+	c.Check(counted, qt.DeepEquals, map[ingress.KeyRefusal]int{ingress.RefusedNotCurrent: 2})
+	exchange(t, address, get+"Authorization: Bearer k1\r\n\r\n")
+	c.Check(d.received, qt.HasLen, 1)
+}
+
+// TestNewProofIsNotUsedForAnOlderConfiguration lets a VM that was cut off catch up while the body of a request is read. The request
+// must not run by the keys that were in force when it came.
+func TestNewProofIsNotUsedForAnOlderConfiguration(t *testing.T) {
+	c := qt.New(t)
+	d := &scriptedDispatcher{do: refusing}
+	isProven := false
+	handler := newHandler(d, func(o *ingress.Options) {
+		o.AwaitTable = keyedTable
+		o.KeyState = func(uint64) ingress.KeyState { return ingress.KeyState{MayServe: isProven} }
+	})
+	request := httptest.NewRequest(http.MethodGet, "/x/1", nil)
+	request.Host = "h"
+	request.Header.Set("X-Id", "1")
+	request.Header.Set("Authorization", "Bearer k1")
+	prepared := handler.Prepare(request)
+	isProven = true
+	response := httptest.NewRecorder()
+	handler.ServeHTTP(response, prepared)
+	c.Check(response.Code, qt.Equals, http.StatusServiceUnavailable)
+	handler.ServeHTTP(httptest.NewRecorder(), handler.Prepare(request))
+	c.Check(d.received, qt.HasLen, 1)
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -48,9 +48,10 @@
 	IsEnding func() bool
 	// IsOverloaded reports whether the process runs too late to answer further requests in time.
 	IsOverloaded func() bool
-	// MayServeKeys reports whether this VM can rely on its keys: none was taken away so long ago that it binds VMs that have not
-	// heard of it. If it is nil, this VM always can.
-	MayServeKeys func() bool
+	// KeyState returns what this VM may do with the keys of a version of the configuration. If it is nil, it may serve and reject all.
+	KeyState func(version uint64) KeyState
+	// CountRefusedKey, if set, counts the requests that are refused because of their keys.
+	CountRefusedKey func(KeyRefusal)
 	// Allowances limit the requests of organisations. If it is nil, there are no limits.
 	Allowances Allowances
 	Dispatcher Dispatcher
@@ -66,8 +67,11 @@
 
 // NewHandler returns a Handler.
 func NewHandler(o Options) *Handler {
-	if o.MayServeKeys == nil {
-		o.MayServeKeys = func() bool { return true }
+	if o.KeyState == nil {
+		o.KeyState = func(uint64) KeyState { return KeyState{MayServe: true, IsCurrent: true} }
+	}
+	if o.CountRefusedKey == nil {
+		o.CountRefusedKey = func(KeyRefusal) {}
 	}
 	if o.Allowances == nil {
 		o.Allowances = unlimited{}
@@ -92,7 +96,8 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrival := callerconn.Arrival(r.Context())
-	table := h.tableOf(r)
+	basis := h.basisOf(r)
+	table := basis.table
 	if table == nil {
 		h.refuse(w, r, "no configuration is known", retryAfterNoConfig)
 		return
@@ -111,18 +116,18 @@
 		h.refuse(w, r, "the VM is overloaded", retryAfterOverloaded)
 		return
 	}
-	owner, refused := h.identify(r, table, target)
+	owner, refused := h.identify(r, basis, target)
 	if refused.status == 0 {
 		refused = h.takeAllowance(owner, arrival)
 	}
 	if refused.status != 0 {
-		h.turnAway(w, r, refused)
+		h.turnAway(w, r, basis, refused)
 		return
 	}
-	request, status, reason := h.readRequest(w, r, table, target, arrival)
-	if status != 0 {
+	request, refused := h.readRequest(w, r, table, target, arrival)
+	if refused.status != 0 {
 		h.giveBackAllowance(owner)
-		h.turnAway(w, r, refusal{status, reason, retryAfterNoMemory})
+		h.turnAway(w, r, basis, refused)
 		return
 	}
 	h.setOrganisation(request, table, owner)
@@ -133,23 +138,42 @@
 	h.respond(w, request, result)
 }
 
-// tableKey is the context key of the routes by which a request is handled.
-type tableKey struct{}
+// basis is what a request is handled by.
+type basis struct {
+	// table holds the routes in force, or is nil if no configuration is known.
+	table *route.Table
+	// keys is what may be done with the keys of table.
+	keys KeyState
+}
+
+func (h *Handler) currentBasis(ctx context.Context) basis {
+	b := basis{table: h.AwaitTable(ctx)}
+	if b.table != nil && b.table.Config.Organisations != nil {
+		b.keys = h.KeyState(b.table.Config.Version)
+	}
+	return b
+}
+
+// basisKey is the context key of the basis of a request.
+type basisKey struct{}
 
-// Prepare returns the request with the routes in force attached to its context. All further decisions on the request are made
-// by these, so that a configuration that comes into force meanwhile changes none of them halfway.
+// Prepare returns the request with its basis attached to its context. All further decisions on the request are made by it, so that
+// a configuration that comes into force meanwhile changes none of them halfway.
 func (h *Handler) Prepare(r *http.Request) *http.Request {
-	return r.WithContext(context.WithValue(r.Context(), tableKey{}, h.AwaitTable(r.Context())))
+	return r.WithContext(context.WithValue(r.Context(), basisKey{}, h.currentBasis(r.Context())))
 }
 
-// tableOf returns the routes by which a request is handled, or nil if no configuration was known when it was prepared.
-func (h *Handler) tableOf(r *http.Request) *route.Table {
-	if table, isPrepared := r.Context().Value(tableKey{}).(*route.Table); isPrepared {
-		return table
+// basisOf returns the basis of a request, which is the current one if it was not prepared.
+func (h *Handler) basisOf(r *http.Request) basis {
+	if b, isPrepared := r.Context().Value(basisKey{}).(basis); isPrepared {
+		return b
 	}
-	return h.AwaitTable(r.Context())
+	return h.currentBasis(r.Context())
 }
 
+// tableOf returns the routes by which a request is handled, or nil if no configuration is known.
+func (h *Handler) tableOf(r *http.Request) *route.Table { return h.basisOf(r).table }
+
 // BodyLimits returns the maximum size in bytes of the body of a request, and the time within which it must be received.
 func (h *Handler) BodyLimits(r *http.Request) (bytes int64, within time.Duration) {
 	within = defaultBodyTimeout
@@ -232,17 +256,17 @@
 }
 
 // turnAway responds to a request that is not dispatched.
-func (h *Handler) turnAway(w http.ResponseWriter, r *http.Request, refused refusal) {
-	switch refused.status {
-	case http.StatusServiceUnavailable:
-		h.refuse(w, r, refused.reason, refused.retryAfter)
-		return
-	case http.StatusTooManyRequests:
-		writeRetryAfter(w, refused.retryAfter)
-	case http.StatusUnauthorized:
+func (h *Handler) turnAway(w http.ResponseWriter, r *http.Request, b basis, refused refusal) {
+	id := r.Header.Get(h.Headers.RequestID)
+	logevent.RequestRefused.Log(h.Log).Str("request", id).Int("status", refused.status).Uint64("config", b.table.Config.Version).
+		Dur("proof_age_ms", b.keys.ProofAge).Str("reason", refused.reason).Send()
+	if refused.status == http.StatusUnauthorized {
 		w.Header().Set("WWW-Authenticate", keyScheme)
 	}
-	h.reject(w, r, refused.status, refused.reason)
+	if refused.retryAfter > 0 {
+		writeRetryAfter(w, refused.retryAfter)
+	}
+	h.writeResponse(w, id, refused.status, refused.reason)
 }
 
 // refuse responds with 503: the request has not run, and the caller may send it again after the given time.
--- a/internal/ingress/read.go
+++ b/internal/ingress/read.go
@@ -14,17 +14,16 @@
 	"github.com/primroseladder/primroseladder/internal/route"
 )
 
-// readRequest reads the complete request and chooses its service. If the request is invalid, it returns the status and the
-// reason of the response; otherwise the status is 0.
+// readRequest reads the complete request and chooses its service, unless the request is invalid or there is no memory for its body.
 func (h *Handler) readRequest(
 	w http.ResponseWriter, r *http.Request, table *route.Table, target *route.Target, arrival time.Time,
-) (*dispatch.Request, int, string) {
+) (*dispatch.Request, refusal) {
 	if limit := table.Config.Limits.MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
-		return nil, http.StatusRequestHeaderFieldsTooLarge, "header too long"
+		return nil, refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header too long"}
 	}
 	id := r.Header.Get(h.Headers.RequestID)
 	if id == "" {
-		return nil, http.StatusBadRequest, "no request id"
+		return nil, refusal{status: http.StatusBadRequest, reason: "no request id"}
 	}
 	out := &dispatch.Request{
 		ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Target: target, Arrival: arrival,
@@ -34,14 +33,14 @@
 	if text := r.Header.Get(h.Headers.DeadlineMS); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || ms < 0 {
-			return nil, http.StatusBadRequest, "unreadable deadline"
+			return nil, refusal{status: http.StatusBadRequest, reason: "unreadable deadline"}
 		}
 		bodyTimeout = time.Duration(ms) * time.Millisecond
 		out.CallerDeadline = arrival.Add(bodyTimeout)
 	}
-	body, status := readBody(w, r, table.Config.Limits.MaxBodyBytes, min(bodyTimeout, target.Timeout))
-	if status != 0 {
-		return nil, status, "body not read"
+	body, refused := readBody(w, r, table.Config.Limits.MaxBodyBytes, min(bodyTimeout, target.Timeout))
+	if refused.status != 0 {
+		return nil, refused
 	}
 	out.Body = body
 	out.Header = header.Strip(r.Header)
@@ -53,7 +52,7 @@
 		delete(out.Header, "User-Agent")
 	}
 	out.Service = target.NextService()
-	return out, 0, ""
+	return out, refusal{}
 }
 
 // headerBytes returns the length in bytes of the request line and the header lines, assuming the usual single space after
@@ -70,33 +69,33 @@
 	return n + lineEnd
 }
 
-// readBody reads the body of a request. It returns status 0, or that of the response if the body exceeds limit bytes, is
-// not complete within the given time, or cannot be read.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, within time.Duration) ([]byte, int) {
+// readBody reads the body of a request, unless it exceeds limit bytes or the memory, is not complete within the given time, or cannot
+// be read.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, within time.Duration) ([]byte, refusal) {
 	if r.Body == nil || r.ContentLength == 0 {
-		return nil, 0
+		return nil, refusal{}
 	}
 	control := http.NewResponseController(w)
 	if err := control.SetReadDeadline(time.Now().Add(within)); err != nil {
-		return nil, http.StatusInternalServerError
+		return nil, refusal{status: http.StatusInternalServerError, reason: "the time to read the body cannot be limited"}
 	}
 	body, err := readWhole(w, r, limit)
 	var tooLarge *http.MaxBytesError
 	var timeout net.Error
 	switch {
 	case errors.As(err, &tooLarge):
-		return nil, http.StatusRequestEntityTooLarge
+		return nil, refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
 	case errors.Is(err, membudget.ErrExhausted):
-		return nil, http.StatusServiceUnavailable
+		return nil, refusal{http.StatusServiceUnavailable, "the memory of the VM for bodies is used up", retryAfterNoMemory}
 	case errors.As(err, &timeout) && timeout.Timeout():
-		return nil, http.StatusRequestTimeout
+		return nil, refusal{status: http.StatusRequestTimeout, reason: "the body was not received in time"}
 	case err != nil:
-		return nil, http.StatusBadRequest
+		return nil, refusal{status: http.StatusBadRequest, reason: "the body cannot be read"}
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		return nil, http.StatusInternalServerError
+		return nil, refusal{status: http.StatusInternalServerError, reason: "the time to read the body cannot be lifted"}
 	}
-	return body, 0
+	return body, refusal{}
 }
 
 // readWhole returns the body of a request, without a copy if the connection has received it already.
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -51,6 +51,8 @@
 	BlockStored         = Event{1318, zerolog.InfoLevel, "the block of a request that crashes backend servers is in the store"}
 	BlockFailed         = Event{1319, zerolog.WarnLevel, "the block of a request cannot be written to the store or read from it"}
 	StoreRestored       = Event{1317, zerolog.WarnLevel, "the store has come back from an older copy of itself"}
+	KeysUnproven        = Event{1320, zerolog.WarnLevel, "this VM cannot show that its keys are current and serves none"}
+	KeysProven          = Event{1321, zerolog.InfoLevel, "this VM can show that its keys are current"}
 	Registered          = Event{1316, zerolog.InfoLevel, "this VM is registered"}
 
 	PeerUnreachable = Event{1401, zerolog.DebugLevel, "a keeper cannot be reached"}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -49,6 +49,8 @@
 	IsReader bool `json:"s,omitempty"`
 	// IsWithoutConfig is set if the VM has no configuration yet.
 	IsWithoutConfig bool `json:"w,omitempty"`
+	// IsUnproven is set if the VM cannot show that its configuration is the newest one, and so serves no keys.
+	IsUnproven bool `json:"u,omitempty"`
 	// IsOverloaded is set if the VM was recently too late to take requests.
 	IsOverloaded bool `json:"b,omitempty"`
 	// AgeMS is the time in milliseconds since the VM's copy of the store was last known to be complete.
@@ -66,11 +68,12 @@
 // Position returns the position in the store's history up to which the VM's copy is complete.
 func (m *Member) Position() kv.Position { return kv.Position{Era: m.Era, Revision: m.Revision} }
 
-// staleAfter is the age of a VM's copy of the store beyond which callers are sent to other VMs, if there are any.
+// staleAfter is the age of a VM's copy of the store beyond which callers are sent to other VMs, if there are any. They are also sent
+// to others by a VM that serves no keys.
 const staleAfter = 3 * time.Second
 
 func (m *Member) isStale() bool {
-	return m.IsWithoutConfig || time.Duration(m.AgeMS)*time.Millisecond > staleAfter
+	return m.IsWithoutConfig || m.IsUnproven || time.Duration(m.AgeMS)*time.Millisecond > staleAfter
 }
 
 // Fleet holds the known VMs. It is safe for concurrent use.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/primroseladder/primroseladder/internal/dispatch"
+	"github.com/primroseladder/primroseladder/internal/ingress"
 )
 
 const namespace = "primrose"
@@ -23,6 +24,7 @@
 	requests         *prometheus.CounterVec
 	latency          *prometheus.HistogramVec
 	attempts         *prometheus.CounterVec
+	refusedKeys      *prometheus.CounterVec
 	evidenceSent     prometheus.Counter
 	evidenceReceived prometheus.Counter
 }
@@ -40,6 +42,9 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "attempts_total", Help: "Attempts at backend servers by outcome.",
 		}, []string{"service", "outcome"}),
+		refusedKeys: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "refused_keys_total", Help: "Requests that were refused because of their keys, by reason.",
+		}, []string{"reason"}),
 		evidenceSent: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "evidence_sent_total", Help: "Evidence sent to other VMs.",
 		}),
@@ -47,7 +52,7 @@
 			Namespace: namespace, Name: "evidence_heard_total", Help: "Evidence received from other VMs.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.evidenceSent, m.evidenceReceived)
+	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.refusedKeys, m.evidenceSent, m.evidenceReceived)
 	return m
 }
 
@@ -68,6 +73,11 @@
 	m.latency.WithLabelValues(service, outcome).Observe(took.Seconds())
 }
 
+// RecordRefusedKey counts a request that was refused because of its key.
+func (m *Metrics) RecordRefusedKey(reason ingress.KeyRefusal) {
+	m.refusedKeys.WithLabelValues(string(reason)).Inc()
+}
+
 // RecordSentEvidence counts evidence that is sent to other VMs. If the evidence has an outcome, it also counts the
 // attempt of this VM that ended with this outcome.
 func (m *Metrics) RecordSentEvidence(e dispatch.Evidence) {
--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -226,12 +226,12 @@
 	return out
 }
 
-// Adopt applies changes read from the store. Those of another era than that of the copy are ignored.
-func (c *Copy) Adopt(changes kv.Changes, now time.Time) {
+// Adopt applies changes read from the store. Those of another era than that of the copy are ignored, and it returns false.
+func (c *Copy) Adopt(changes kv.Changes, now time.Time) (isAdopted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if changes.Era != c.at.Era {
-		return
+		return false
 	}
 	c.outage.recordEnd(c.confirmed, now)
 	c.applyNewer(c.toEntries(changes.Items, now), now)
@@ -240,6 +240,7 @@
 	}
 	c.advance(kv.Position{Era: c.at.Era, Revision: changes.Revision})
 	c.confirmed = now
+	return true
 }
 
 // advance records the position up to which the copy is complete. The caller holds c.mu.
@@ -264,12 +265,12 @@
 }
 
 // AdoptFull applies the result of a full read of the store whose first page was read at the given position. Known items
-// that the read does not contain are treated as deleted. A read of an earlier era is ignored.
-func (c *Copy) AdoptFull(read []kv.Item, at kv.Position, now time.Time) {
+// that the read does not contain are treated as deleted. A read of an earlier era is ignored, and it returns false.
+func (c *Copy) AdoptFull(read []kv.Item, at kv.Position, now time.Time) (isAdopted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if at.Era < c.at.Era {
-		return
+		return false
 	}
 	c.outage.recordEnd(c.confirmed, now)
 	entries := make([]Entry, 0, len(read))
@@ -280,13 +281,14 @@
 		c.outage.endedAt = now
 		c.adoptEra(Changes{Entries: entries, Revision: at.Revision, Era: at.Era, TentativeFor: deletionGrace}, now)
 		c.confirmed = now
-		return
+		return true
 	}
 	changes := append(slices.Clone(read), c.missingIn(entries, at.Revision)...)
 	slices.SortStableFunc(changes, func(a, b kv.Item) int { return cmp.Compare(a.Revision, b.Revision) })
 	c.applyNewer(c.toEntries(changes, now), now)
 	c.advance(at)
 	c.confirmed = now
+	return true
 }
 
 // toEntries converts items and marks deletions as tentative while they may be due to an outage. The caller holds c.mu.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -17,18 +17,22 @@
 )
 
 const (
-	// watchWait is how long the store holds a watch open without changes. It is well below the 2 s within which a
+	// maxWatchWait is how long the store holds a watch open without changes at most. It is well below the 2 s within which a
 	// change must be in force: a store that compacts may leave a watch without its changes, and a broken path shows
 	// only once the response is overdue.
-	watchWait = time.Second
+	maxWatchWait = time.Second
+	// ownReadWait replaces WatchWait for a VM that reads the store for itself alone, which has to know soon what the store has.
+	ownReadWait = time.Millisecond
+	// ownReadInterval is the minimum interval between such reads: they may not help, as while a restored store lacks what others have.
+	ownReadInterval = 500 * time.Millisecond
 	// changeBatchDelay gathers changes in quick succession into one response, since each response is charged.
 	changeBatchDelay = 250 * time.Millisecond
 	// followerReadAge is the age of the copy beyond which a VM reads the store itself, regardless of its rank. With
 	// pollInterval and the call it stays below the 2 s within which a change must be in force. A reader's copy is at
-	// most watchWait and one call old.
+	// most maxWatchWait and one call old.
 	followerReadAge = 1500 * time.Millisecond
 	// reserveReadAge is the age of the copy beyond which the reader in reserve reads the store. The reader's copy is
-	// confirmed every watchWait and one call, and heartbeats announce this within 250 ms; the reader in reserve has read
+	// confirmed every maxWatchWait and one call, and heartbeats announce this within 250 ms; the reader in reserve has read
 	// before other VMs reach followerReadAge.
 	reserveReadAge = 1300 * time.Millisecond
 	// transferWait is how long a VM whose copy is old leaves the store alone once it knows of a VM with a newer copy.
@@ -107,6 +111,13 @@
 	OnStateChange func()
 	// OnConfirm is called when the store has returned changes, or reported that there are none.
 	OnConfirm func()
+	// BeginRead is called before a linearizable read of the store is sent. The function that it returns is called once the copy
+	// has all that the store had then.
+	BeginRead func() (end func())
+	// MustRead, if set, reports whether this VM has to read the store although its copy is confirmed by other VMs.
+	MustRead func() bool
+	// WatchWait is how long the store holds a watch open without changes. It is at most the default of one second.
+	WatchWait time.Duration
 	Log       zerolog.Logger
 }
 
@@ -124,12 +135,25 @@
 	peersDiscoveredAt, firstSourceAt time.Time
 	// newerSince is the time since which another VM has been known to have a newer copy; zero if none has.
 	newerSince time.Time
+	// lastOwnRead is when this VM last read the store for itself alone.
+	lastOwnRead time.Time
 	// peerCopyWait is how long a VM without a copy waits for the copy of another VM.
 	peerCopyWait time.Duration
 }
 
 // New returns a Mirror that fills the copy.
-func New(o Options) *Mirror { return &Mirror{Options: o} }
+func New(o Options) *Mirror {
+	if o.BeginRead == nil {
+		o.BeginRead = func() func() { return func() {} }
+	}
+	if o.MustRead == nil {
+		o.MustRead = func() bool { return false }
+	}
+	if o.WatchWait <= 0 || o.WatchWait > maxWatchWait {
+		o.WatchWait = maxWatchWait
+	}
+	return &Mirror{Options: o}
+}
 
 // IsStoreUnreachable reports whether this VM's last call to the store failed.
 func (m *Mirror) IsStoreUnreachable() bool { return m.isStoreUnreachable.Load() }
@@ -226,15 +250,22 @@
 		return true
 	case m.isCopyEmpty():
 		return rank > 0 && now.Sub(m.peersDiscoveredAt) > reserveFullReadDelay || m.isPeerCopyWaitOver(now)
-	case rank > 0:
-		return m.age(now) > reserveReadAge
-	case m.isStoreUnreachable.Load():
+	case rank < 0 && m.isStoreUnreachable.Load():
 		return now.After(m.nextAttempt)
+	case rank > 0 && m.age(now) > reserveReadAge:
+		return true
+	case rank < 0 && m.age(now) > followerReadAge:
+		return !isTransferExpected
 	default:
-		return m.age(now) > followerReadAge && !isTransferExpected
+		return m.isOwnReadDue(now)
 	}
 }
 
+// isOwnReadDue reports whether this VM has to read the store for itself, and has not done so within ownReadInterval.
+func (m *Mirror) isOwnReadDue(now time.Time) bool {
+	return m.MustRead() && now.Sub(m.lastOwnRead) >= ownReadInterval
+}
+
 // isTransferExpected reports whether a VM with a newer and fresh copy has become known within transferWait.
 func (m *Mirror) isTransferExpected(now time.Time) bool {
 	hasNewer := slices.ContainsFunc(m.Peers.Sources(), func(s Source) bool {
@@ -295,8 +326,12 @@
 func (m *Mirror) isCopyEmpty() bool { return m.Copy.Position().Revision == 0 }
 
 func (m *Mirror) watch(ctx context.Context) error {
-	at := m.Copy.Position()
-	changes, err := m.Store.Watch(ctx, "", at.Revision, watchWait)
+	at, wait := m.Copy.Position(), m.WatchWait
+	if now := time.Now(); m.isOwnReadDue(now) {
+		wait, m.lastOwnRead = ownReadWait, now
+	}
+	end := m.BeginRead()
+	changes, err := m.Store.Watch(ctx, "", at.Revision, wait)
 	if errors.Is(err, kv.ErrCompacted) {
 		logevent.HistoryDiscarded.Log(m.Log).Uint64("revision", at.Revision).Send()
 		return m.readFull(ctx)
@@ -307,7 +342,9 @@
 	if now := m.Copy.Position(); changes.Era != now.Era || now.Era != at.Era {
 		return m.resolveEra(ctx, changes.Era, now.Era)
 	}
-	m.Copy.Adopt(changes, time.Now())
+	if m.Copy.Adopt(changes, time.Now()) {
+		end()
+	}
 	m.OnConfirm()
 	if isLarge(changes.Items) {
 		m.OnStateChange()
@@ -336,6 +373,8 @@
 	at kv.Position
 	// last is the last key that was read.
 	last string
+	// end is what BeginRead returned before the first page was read.
+	end func()
 }
 
 // readFull reads all pages. After a failed call the next readFull continues with the missing page: many VMs that start at
@@ -347,6 +386,9 @@
 		m.pendingRead = fullRead{}
 	}
 	for m.Copy.Position() == known {
+		if m.pendingRead.at.Revision == 0 {
+			m.pendingRead.end = m.BeginRead()
+		}
 		page, err := m.Store.Range(ctx, "", m.pendingRead.last)
 		if err != nil {
 			return err
@@ -361,7 +403,9 @@
 		}
 		pending.items = append(pending.items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
-			m.Copy.AdoptFull(pending.items, pending.at, time.Now())
+			if m.Copy.AdoptFull(pending.items, pending.at, time.Now()) {
+				pending.end()
+			}
 			m.OnStateChange()
 			break
 		}
--- a/internal/organisation/organisation.go
+++ b/internal/organisation/organisation.go
@@ -55,6 +55,8 @@
 		return fmt.Errorf("the name has more than %d bytes", maxNameBytes)
 	case !httpguts.ValidHeaderFieldValue(o.Name):
 		return errors.New("the name cannot be sent in a header")
+	case o.Priority < 0:
+		return fmt.Errorf("the priority %d is negative", o.Priority)
 	case !isCount(o.PerSecond):
 		return fmt.Errorf("%g requests a second is no valid allowance", o.PerSecond)
 	case !isCount(o.Burst):
--- a/internal/vmpeer/codec.go
+++ b/internal/vmpeer/codec.go
@@ -36,6 +36,8 @@
 	kindHealthAnswer     datagramKind = 8
 	kindNewsQuestion     datagramKind = 9
 	kindBlockAnswer      datagramKind = 10
+	kindProofQuestion    datagramKind = 11
+	kindProofAnswer      datagramKind = 12
 )
 
 const (
--- a/internal/vmpeer/endpoint.go
+++ b/internal/vmpeer/endpoint.go
@@ -52,6 +52,7 @@
 	KnownHealth(service string) []dispatch.ServerHealth
 	// ReceiveHealth is called with the answer to a question of this VM.
 	ReceiveHealth(service string, known []dispatch.ServerHealth)
+	Prover
 }
 
 // Groups provides the peer addresses of the other VMs that serve a service.
@@ -205,6 +206,18 @@
 			to.ReceiveBlocks(blocks)
 		}
 		return err
+	case kindProofQuestion:
+		nonce, err := decodeProofQuestion(body)
+		if err == nil {
+			ep.answerProof(from.String(), nonce, to)
+		}
+		return err
+	case kindProofAnswer:
+		answer, err := decodeProofAnswer(body)
+		if err == nil {
+			to.ReceiveProof(answer.nonce, answer.version, answer.age)
+		}
+		return err
 	default:
 		return fmt.Errorf("decode datagram: unknown kind %d", datagram[0])
 	}
--- a/internal/vmpeer/subscription_test.go
+++ b/internal/vmpeer/subscription_test.go
@@ -23,6 +23,8 @@
 func (noReceiver) LeavingBesides(uint64) []dispatch.Evidence     { return nil }
 func (noReceiver) KnownHealth(string) []dispatch.ServerHealth    { return nil }
 func (noReceiver) ReceiveHealth(string, []dispatch.ServerHealth) {}
+func (noReceiver) KnownProof() (uint64, time.Duration, bool)     { return 0, 0, false }
+func (noReceiver) ReceiveProof(uint64, uint64, time.Duration)    {}
 
 // TestFewRequestsDoNotSubscribeToEvidence guards against all evidence on a service being sent to every VM that gets a request
 // for it now and then. On a large deployment these were all VMs of a region, and receiving it took most of the processor
--- a/internal/vmpeer/zone_test.go
+++ b/internal/vmpeer/zone_test.go
@@ -123,6 +123,9 @@
 
 func (discardReceiver) ReceiveHealth(string, []dispatch.ServerHealth) {}
 
+func (discardReceiver) KnownProof() (uint64, time.Duration, bool)  { return 0, 0, false }
+func (discardReceiver) ReceiveProof(uint64, uint64, time.Duration) {}
+
 // testZone is a zone of VMs, each of which has read the registrations of all.
 type testZone struct {
 	net *testNet
