client: an answer of status 000 is a lost answer

What callers saw: an answer of status 000 or 999 was returned as the result of the request, with its outcome header believed (MIXED).

Cause: net/http's transport passes any status of three characters on.

The test failed before, both for "done" and for "not run": --- FAIL: TestSends/answer_of_status_zero --- FAIL: TestSends/answer_of_status_999

Change: such an answer is treated as one that was lost: the request is sent again where its key allows it, and is unknown otherwise.

--- a/client/client.go
+++ b/client/client.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/primroseladder/primroseladder/internal/header"
+	"github.com/primroseladder/primroseladder/internal/httpstatus"
 	"github.com/primroseladder/primroseladder/internal/outcome"
 )
 
@@ -225,6 +226,9 @@
 		return nil, true, err
 	}
 	defer resp.Body.Close()
+	if !httpstatus.IsFinal(resp.StatusCode) {
+		return nil, true, fmt.Errorf("the answer from %s has the status %q, which HTTP does not allow", address, resp.Status)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, c.settings.MaxAnswerBytes+1))
 	if err != nil {
 		return nil, true, err
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -22,6 +23,8 @@
 	status          int
 	// lose closes the connection without an answer.
 	lose bool
+	// statusLine, if it is set, replaces the status line of the answer.
+	statusLine string
 	// header holds further headers of the answer.
 	header map[string]string
 }
@@ -59,6 +62,14 @@
 	for name, value := range next.header {
 		w.Header().Set(name, value)
 	}
+	if next.statusLine != "" {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_, _ = fmt.Fprintf(conn, "%s\r\nPrimrose-Outcome: %s\r\nContent-Length: 0\r\n\r\n", next.statusLine, next.outcome)
+			_ = conn.Close()
+		}
+		return
+	}
 	w.WriteHeader(next.status)
 }
 
@@ -91,6 +102,8 @@
 		{"refused and sent anew", []reply{refused, refused, done}, "b", []string{"1/", "2/1", "3/2"}, "done"},
 		{"refused to the end", []reply{refused}, "b", []string{"1/", "2/1", "3/2", "4/3"}, "not-run"},
 		{"answer lost, then remembered", []reply{lost, done}, "b", []string{"1/", "2/"}, "done"},
+		{"answer of status zero", []reply{{outcome: "done", statusLine: "HTTP/1.1 000 What"}, done}, "b", []string{"1/", "2/"}, "done"},
+		{"answer of status 999", []reply{{outcome: "not-run", status: 999}, done}, "b", []string{"1/", "2/"}, "done"},
 		{"answer lost without a body", []reply{lost, done}, "", []string{"1/", "2/"}, "done"},
 		{"all answers lost", []reply{lost}, "b", []string{"1/", "2/", "3/", "4/"}, "unknown"},
 		{"refused, then the answer lost", []reply{refused, lost, done}, "b", []string{"1/", "2/1", "3/1"}, "done"},
@@ -126,6 +139,7 @@
 			qt.Check(t, result.Outcome, qt.Equals, test.outcome)
 			qt.Check(t, f.sent(), qt.DeepEquals, test.sends)
 			qt.Check(t, result.Sends, qt.Equals, len(test.sends))
+			qt.Check(t, result.Status != 0 || result.Outcome == "unknown", qt.IsTrue)
 		})
 	}
 }
