probe: a status of 000 is no sign of health

Cause: every status below 500 counted as a good probe.

The test failed before: --- FAIL: TestProbeWithoutAValidStatusFails

Change: a status that HTTP does not allow is a failed probe, and what it says of draining is not believed.

--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/primroseladder/primroseladder/internal/header"
+	"github.com/primroseladder/primroseladder/internal/httpstatus"
 	"github.com/primroseladder/primroseladder/internal/periodic"
 )
 
@@ -137,7 +138,8 @@
 	}
 }
 
-// probe requests the health endpoint of the target and reports the result to its board. A status from 500 on is a failure.
+// probe requests the health endpoint of the target and reports the result to its board. A status from 500 on, or
+// one that HTTP does not allow, is a failure.
 func (p *Prober) probe(ctx context.Context, t Target) {
 	probeCount.Add(1)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Address+t.Path, nil)
@@ -152,6 +154,10 @@
 		return
 	}
 	_ = resp.Body.Close()
+	if !httpstatus.IsFinal(resp.StatusCode) {
+		t.Board.RecordProbeFailure(t.Backend)
+		return
+	}
 	if resp.Header.Get(header.Draining) == "true" {
 		t.Board.SetDraining(t.Backend)
 	}
--- a/internal/probe/probe_test.go
+++ b/internal/probe/probe_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -63,6 +64,22 @@
 	c.Assert(board.unreachable, qt.Equals, 1)
 }
 
+// TestProbeWithoutAValidStatusFails checks that a status which HTTP does not allow is no sign of health.
+func TestProbeWithoutAValidStatusFails(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if conn, _, err := w.(http.Hijacker).Hijack(); err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 000 What\r\nContent-Length: 0\r\n\r\n")
+			_ = conn.Close()
+		}
+	}))
+	defer server.Close()
+	board := &fakeBoard{}
+	New(nil).probe(context.Background(), Target{
+		Backend: "deposits-0", Address: strings.TrimPrefix(server.URL, "http://"), Path: "/health", Board: board,
+	})
+	qt.Check(t, board.failed, qt.Equals, 1)
+}
+
 // TestProbesAreRare checks over two minutes that a backend server without requests is probed at most every five seconds, and
 // that one with recent requests is not probed.
 func TestProbesAreRare(t *testing.T) {
