Store clients: a response of status 000 leaves the outcome of a write open

Cause: a status other than 200 was taken for a refusal of the store, also one that HTTP does not allow and that no store sends. A write that had happened was then reported as one that had not.

The tests failed before: --- FAIL: TestStoreErrors/status_that_HTTP_does_not_allow --- FAIL: TestWriteWithoutAValidStatusMayHaveHappened (status 0)

The feed of VMs (vmpeer), the VM list and the address lists of keepers accept 200 alone and fail otherwise, which is right for reads.

--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"github.com/primroseladder/primroseladder/internal/httpstatus"
 	"github.com/primroseladder/primroseladder/internal/peererr"
 )
 
@@ -181,7 +182,7 @@
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxValueBytes))
-	if err != nil || resp.StatusCode >= http.StatusInternalServerError {
+	if err != nil || resp.StatusCode >= http.StatusInternalServerError || !httpstatus.IsFinal(resp.StatusCode) {
 		return "", peererr.Wrap(errors.Join(ErrOutcomeUnknown, err), "store write", c.baseURL)
 	}
 	if resp.StatusCode != http.StatusOK {
