--- a/internal/evidence/durations.go
+++ b/internal/evidence/durations.go
@@ -45,6 +45,11 @@
 	return DurationModel{logMean: math.Log(max(initialMedian.Seconds(), 1e-3)), logVariance: initialStdDev * initialStdDev}
 }
 
+// Derive returns a model without observations, which is assumed to be like d.
+func (d *DurationModel) Derive() DurationModel {
+	return DurationModel{logMean: d.logMean, logVariance: d.logVariance}
+}
+
 func (d *DurationModel) stdDev() float64 { return max(math.Sqrt(d.logVariance), minStdDev) }
 
 // Observe adds the duration of a successful request.
