dispatch: requests go where the work that is left lets them finish in time

Where a request went depended on the number of open requests and on the mean duration of its service. Where kinds of different cost share servers, many answers were late only because of the requests before them.

The expected wait now comes from the work that is left at a backend server, the probability of a late answer from the request's own class, as do slowness, early and overdue failures, and the mean size by which traffic to other zones is priced. The wait itself costs in proportion to the target latency: otherwise requests that can bear it took slots from those that cannot. Ties are broken by more than before, so that VMs do not all choose the same backend server before they hear of each other. The last attempt's expected wait is in its log line and in a metric.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -130,7 +130,7 @@
 func (a *attemptLoop) attempt(ctx context.Context, res *reservation, f poison.Fingerprint) nextStep {
 	answer, err := res.pool.Do(ctx, a.outboundRequest(res.id))
 	a.hasCrashed = false
-	a.lastResult = Result{Server: res.id, UnhealthyProbability: res.unhealthyProbability, IsTrial: res.isTrial}
+	a.lastResult = Result{Server: res.id, UnhealthyProbability: res.unhealthyProbability, IsTrial: res.isTrial, ExpectedWait: res.expectedWait}
 	if err != nil {
 		return a.afterError(ctx, res, f, err)
 	}
@@ -283,5 +283,5 @@
 func (s *service) notRunRetryAfter() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.durations.Mean() / 2
+	return s.work.All().Durations.Mean() / 2
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 	"github.com/primroseladder/primroseladder/internal/poison"
 	"github.com/primroseladder/primroseladder/internal/roster"
 	"github.com/primroseladder/primroseladder/internal/route"
+	"github.com/primroseladder/primroseladder/internal/workload"
 )
 
 // Request is a caller's request and the route it takes.
@@ -77,6 +78,8 @@
 	// backend server had when it was picked.
 	Server               string
 	UnhealthyProbability float64
+	// ExpectedWait is how long the last attempt was expected to wait for a slot of its backend server.
+	ExpectedWait time.Duration
 	// IsTrial is set if the last attempt went to an idle backend server to keep it in service, not because of its cost.
 	IsTrial  bool
 	Attempts int
@@ -93,6 +96,8 @@
 	// HasOutcome is set if the request has ended.
 	HasOutcome bool
 	Outcome    evidence.Outcome
+	// Work identifies the request and its class.
+	Work Work
 	// Took is the time from the start to the end of the request.
 	Took time.Duration
 	// IsTrial is set if the backend server was picked to keep it in service, not because of its cost.
@@ -105,6 +110,14 @@
 	IsNews    bool
 }
 
+// Work identifies a request that a VM sends to a backend server. The zero value is that of a VM that sends only the number of
+// its open requests.
+type Work struct {
+	Class workload.Class
+	// Number is unique among the requests that the VM has open at the backend server.
+	Number uint16
+}
+
 // Protocol holds the names of the headers that are exchanged with backend servers.
 type Protocol struct {
 	RequestID, DeadlineMS, Signature, ExpectedInstance, NotExecuted, Leaving, Limit string
--- a/internal/dispatch/floor.go
+++ b/internal/dispatch/floor.go
@@ -56,7 +56,7 @@
 		limit = repeatableIdleAfter
 	}
 	isLocalRegion := s.options.Regions[srv.Zone] == s.options.Region
-	return isLocalRegion && len(srv.open) == 0 && now.Sub(srv.lastUsed) > limit && now.Sub(srv.unreachableAt) > unreachablePause
+	return isLocalRegion && srv.queue.Own() == 0 && now.Sub(srv.lastUsed) > limit && now.Sub(srv.unreachableAt) > unreachablePause
 }
 
 // trialBonus returns how much the cost of an idle backend server is reduced. The bonus keeps capacity that may be
--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -5,6 +5,7 @@
 
 	"github.com/primroseladder/primroseladder/internal/evidence"
 	"github.com/primroseladder/primroseladder/internal/logevent"
+	"github.com/primroseladder/primroseladder/internal/workload"
 )
 
 // reservation is a request that is open at a backend server.
@@ -17,27 +18,33 @@
 	// said is what the backend server says about itself in its answer.
 	said Statement
 	// pause is the time for which the backend server wants nothing more from this VM.
-	pause   time.Duration
-	openID  uint64
+	pause time.Duration
+	// number identifies the request among those that this VM has open at the backend server.
+	number  uint16
+	class   workload.Class
 	started time.Time
 	// isTrial is set if the backend server was picked to keep it in service.
 	isTrial bool
+	// expectedWait is how long the request was expected to wait for a slot.
+	expectedWait time.Duration
 	// unhealthyProbability is that of the backend server when it was picked.
 	unhealthyProbability float64
 }
 
 // reserve opens a request at a backend server. The caller must hold the service's lock.
-func (s *service) reserve(c choice, now time.Time) *reservation {
+func (s *service) reserve(c choice, class workload.Class, now time.Time) *reservation {
 	chosen := c.server
-	s.nextOpenID++
-	chosen.open[s.nextOpenID] = now
+	s.nextNumber++
+	chosen.queue.Add(workload.RequestKey{Number: s.nextNumber}, class, chosen.Slots, now)
 	chosen.lastUsed = now
 	chosen.advice.limit.count(now)
-	s.options.ShareEvidence(Evidence{Service: s.name, Server: chosen.ID, Open: len(chosen.open), IsStart: true})
+	s.options.ShareEvidence(Evidence{
+		Service: s.name, Server: chosen.ID, Open: chosen.queue.Own(), IsStart: true, Work: Work{class, s.nextNumber},
+	})
 	return &reservation{
-		service: s, server: chosen, id: chosen.ID, pool: chosen.pool, openID: s.nextOpenID, started: now,
+		service: s, server: chosen, id: chosen.ID, pool: chosen.pool, number: s.nextNumber, class: class, started: now,
 		said:    Statement{Incarnation: chosen.Incarnation},
-		isTrial: c.isTrial, unhealthyProbability: chosen.estimate.UnhealthyProbability(now),
+		isTrial: c.isTrial, expectedWait: c.wait, unhealthyProbability: chosen.estimate.UnhealthyProbability(now),
 	}
 }
 
@@ -49,10 +56,10 @@
 	s, now := r.service, time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(r.server.open, r.openID)
 	took := now.Sub(r.started)
+	waited := r.removeFromQueue(now)
 	r.server.observePath(outcome, now)
-	isTransition := s.observe(r.server, outcome, took, now)
+	isTransition := s.observe(r.server, outcome, r.class, took-waited, now)
 	if s.isServing {
 		s.evidenceAt = now
 	}
@@ -67,19 +74,24 @@
 	}
 	s.countOutcome(outcome, r.isTrial, now)
 	if bytes > 0 {
-		s.updateMeanBytes(float64(bytes))
+		s.work.ObserveBytes(r.class, bytes)
 	}
 	s.options.ShareEvidence(Evidence{
-		Service: s.name, Server: r.server.ID, Open: len(r.server.open), HasOutcome: true, Outcome: outcome, Took: took,
-		IsTrial: r.isTrial, IsHealthTransition: isTransition, Statement: r.said, IsNews: isNews,
+		Service: s.name, Server: r.server.ID, Open: r.server.queue.Own(), HasOutcome: true, Outcome: outcome, Took: took,
+		Work: Work{r.class, r.number}, IsTrial: r.isTrial, IsHealthTransition: isTransition, Statement: r.said, IsNews: isNews,
 	})
 }
 
+// removeFromQueue removes the request from those that are open at the backend server, and returns how long it has waited there.
+func (r *reservation) removeFromQueue(now time.Time) time.Duration {
+	return r.server.queue.Remove(workload.RequestKey{Number: r.number}, r.server.Slots, now)
+}
+
 // completeFailed ends the request with a failure. Its duration determines the kind of failure.
 func (r *reservation) completeFailed() {
 	now := time.Now()
 	r.service.mu.Lock()
-	outcome := r.service.durations.Classify(evidence.Failure, now.Sub(r.started), r.server.slowdown(now))
+	outcome := r.service.work.Of(r.class).Usual.Classify(evidence.Failure, now.Sub(r.started), r.server.slowdown(now))
 	r.service.mu.Unlock()
 	r.complete(outcome, 0)
 }
@@ -88,25 +100,17 @@
 func (r *reservation) release() {
 	r.service.mu.Lock()
 	defer r.service.mu.Unlock()
-	delete(r.server.open, r.openID)
-	r.service.options.ShareEvidence(Evidence{Service: r.service.name, Server: r.server.ID, Open: len(r.server.open)})
-}
-
-// updateMeanBytes updates the moving mean of the size of a request and its answer. The first size is taken as it is:
-// starting from 0, the first requests of a service would be sent to other regions as if traffic were free.
-func (s *service) updateMeanBytes(bytes float64) {
-	if s.meanBytes == 0 {
-		s.meanBytes = bytes
-	}
-	s.meanBytes += meanBytesWeight * (bytes - s.meanBytes)
+	r.removeFromQueue(time.Now())
+	r.service.options.ShareEvidence(Evidence{
+		Service: r.service.name, Server: r.server.ID, Open: r.server.queue.Own(), Work: Work{r.class, r.number},
+	})
 }
 
-// meanBytesWeight is the weight of a new request in meanBytes.
-const meanBytesWeight = 0.05
-
-// observe updates the estimates with an outcome and reports whether it changed the state of the backend server from
-// healthy to unhealthy or back. The caller must hold the service's lock.
-func (s *service) observe(srv *server, outcome evidence.Outcome, took time.Duration, now time.Time) (isTransition bool) {
+// observe updates the estimates with the outcome of a request that ran for ran, and reports whether it changed the state of the
+// backend server from healthy to unhealthy or back. The caller must hold the service's lock.
+func (s *service) observe(
+	srv *server, outcome evidence.Outcome, class workload.Class, ran time.Duration, now time.Time,
+) (isTransition bool) {
 	weight := 1.0
 	if mayBePathFault(outcome) {
 		weight = pathOutcomeWeight
@@ -120,9 +124,9 @@
 		if now.Before(srv.warmupUntil) {
 			slowdown = warmupSlowdown
 		}
-		warmDuration := time.Duration(float64(took) / slowdown)
-		srv.slowness.Observe(now, warmDuration, &s.durations)
-		s.durations.Observe(warmDuration)
+		warmDuration := time.Duration(float64(ran) / slowdown)
+		srv.slowness.Observe(now, warmDuration, &s.work.Of(class).Usual)
+		s.work.Observe(class, warmDuration)
 	case evidence.Unreachable:
 		srv.unreachableAt = now
 	case evidence.Shed:
@@ -174,7 +178,7 @@
 		return
 	}
 	s.evidenceAt = now
-	srv.peerOpen[peer] = peerCount{open: e.Open, at: now}
+	waited := s.receiveWork(srv, peer, e, now)
 	if e.IsStart {
 		srv.advice.limit.count(now)
 	}
@@ -182,10 +186,25 @@
 		srv.lastUsed = now
 		return
 	}
-	s.observe(srv, e.Outcome, e.Took, now)
+	s.observe(srv, e.Outcome, e.Work.Class, max(0, e.Took-waited), now)
 	s.countOutcome(e.Outcome, e.IsTrial, now)
 }
 
+// receiveWork applies the start or the end of a request of a peer to the queue of the backend server, and returns how long a
+// request that has ended had waited there.
+func (s *service) receiveWork(srv *server, peer string, e Evidence, now time.Time) (waited time.Duration) {
+	if e.Work.Class != 0 {
+		key := workload.RequestKey{Peer: peer, Number: e.Work.Number}
+		if e.IsStart {
+			srv.queue.Add(key, e.Work.Class, srv.Slots, now)
+		} else {
+			waited = srv.queue.Remove(key, srv.Slots, now)
+		}
+	}
+	srv.queue.Reconcile(peer, e.Open, srv.Slots, now)
+	return waited
+}
+
 // receiveHealthTransition applies an outcome from another region. Such evidence does not update the load of the
 // backend server, and its outcome does not count in this region's share of failures.
 func (s *service) receiveHealthTransition(e Evidence, now time.Time) {
@@ -193,6 +212,6 @@
 	defer s.mu.Unlock()
 	s.adopt(e.Server, e.Statement, now.Add(-e.Took), now)
 	if srv := s.servers[e.Server]; srv != nil && e.HasOutcome {
-		s.observe(srv, e.Outcome, e.Took, now)
+		s.observe(srv, e.Outcome, e.Work.Class, e.Took, now)
 	}
 }
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -7,6 +7,7 @@
 
 	"github.com/primroseladder/primroseladder/internal/evidence"
 	"github.com/primroseladder/primroseladder/internal/route"
+	"github.com/primroseladder/primroseladder/internal/workload"
 )
 
 // The costs of sending a request to a backend server, relative to the cost of a failure.
@@ -26,12 +27,17 @@
 	// to 3.
 	connectCost = 0.015
 	// occupancyCost is the cost of a backend server whose slots are all busy. With fewer busy slots the cost is
-	// proportionally lower, since some backend servers slow down when they are nearly full.
+	// proportionally lower, since some backend servers slow down when they are nearly full, and since other VMs may have sent
+	// requests of which this VM has not heard yet.
 	occupancyCost = 0.03
+	// waitCost is the cost of an expected wait for a slot that is as long as the target latency. A shorter one costs
+	// proportionally less: it may be longer than expected, and so may be the request itself.
+	waitCost = lateCost
 	// shedCost is the cost of a backend server that refused a request within shedPause.
 	shedCost = 0.3
-	// tieBreak is the upper limit of the random part of the cost.
-	tieBreak = 0.004
+	// tieBreak is the upper limit of the random part of the cost. It is about the cost of leaving the zone, and keeps VMs that
+	// know the same from all choosing the same backend server before they hear of each other's requests.
+	tieBreak = 0.012
 	// joinBonus makes the dispatcher send a first request to a backend server that has just joined.
 	joinBonus = 0.3
 	// warmupSlowdown is how many times as long as usual a backend server that has just started takes for a request.
@@ -62,6 +68,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.isServing = s.options.Serves(s.name)
+	class := workload.ClassOf(r.Method, r.Target.Host, r.Target.Prefix, len(r.Body))
+	model, bytes := s.work.Of(class), s.work.MeanBytes(class)
 	var best choice
 	for _, candidate := range s.byDistance {
 		if wait, ok := s.admission(candidate, now); !ok || wait > 0 {
@@ -72,10 +80,10 @@
 		if tried[candidate.ID] {
 			continue
 		}
-		if best.server != nil && s.minCost(candidate, r.Target, now) >= best.cost {
+		if best.server != nil && s.minCost(candidate, r.Target, bytes, now) >= best.cost {
 			continue
 		}
-		c := s.assess(candidate, r, deadline, now)
+		c := s.assess(candidate, r, model, bytes, deadline, now)
 		if c.canStartInTime && (best.server == nil || c.cost < best.cost) {
 			best = c
 		}
@@ -84,7 +92,7 @@
 	if best.server == nil {
 		return nil, why
 	}
-	return s.reserve(best, now), why
+	return s.reserve(best, class, now), why
 }
 
 // refusal describes why no backend server can be picked.
@@ -103,12 +111,12 @@
 
 // minCost returns a lower limit of the cost of a backend server that needs no estimate: that of its distance and of the
 // failures of a healthy server. It is minus infinity for a server that may get a bonus.
-func (s *service) minCost(srv *server, t *route.Target, now time.Time) float64 {
+func (s *service) minCost(srv *server, t *route.Target, bytes float64, now time.Time) float64 {
 	if s.isIdle(srv, t, now) || isNew(srv, now) {
 		return math.Inf(-1)
 	}
 	const least = evidence.MinFailureProbability
-	return s.distanceCost(srv) + failCost(t, least)*least
+	return s.distanceCost(srv, bytes) + failCost(t, least)*least
 }
 
 // isNew reports whether the backend server has joined a running service and got no request yet.
@@ -116,17 +124,22 @@
 	return !srv.joined.IsZero() && srv.lastUsed.IsZero() && now.Sub(srv.joined) < joinWindow
 }
 
-// assess returns the expected cost of sending the request to a backend server.
-func (s *service) assess(srv *server, r *Request, deadline, now time.Time) choice {
-	slowdown, load := srv.slowdown(now), srv.load(now)
-	wait := s.expectedWait(srv, load, slowdown)
+// assess returns the expected cost of sending a request to a backend server. model and bytes are the model of its class and the
+// mean size of its requests and answers.
+func (s *service) assess(
+	srv *server, r *Request, model *workload.ClassModel, bytes float64, deadline, now time.Time,
+) choice {
+	slowdown := srv.slowdown(now)
+	load := srv.load(now)
+	wait := s.expectedWait(srv, load, slowdown, now)
 	openLogRatio := s.openLogRatio(srv, slowdown, now)
 	failProbability := eitherProbability(
 		srv.estimate.FailureProbability(now, openLogRatio), srv.path.FailureProbability(now, openLogRatio),
 	)
-	lateProbability := s.durations.ExceedProbability(r.Target.TargetLatency-now.Sub(r.Arrival)-wait, slowdown)
+	lateProbability := lateProbability(model, r.Target.TargetLatency-now.Sub(r.Arrival), wait, slowdown)
 	cost := failCost(r.Target, failProbability)*failProbability + (1-failProbability)*lateCost*lateProbability +
-		occupancyCost*float64(load)/float64(srv.Slots) + s.distanceCost(srv) + srv.transientCost(now) + jitter()
+		occupancyCost*float64(load)/float64(max(1, srv.Slots)) + waitCost*min(1, float64(wait)/float64(max(1, r.Target.TargetLatency))) +
+		s.distanceCost(srv, bytes) + srv.transientCost(now) + jitter()
 	bonus := 0.0
 	if s.isIdle(srv, r.Target, now) {
 		bonus = s.trialBonus(srv, now)
@@ -146,21 +159,37 @@
 }
 
 // expectedWait returns how long another request is expected to wait for a slot of a backend server.
-func (s *service) expectedWait(srv *server, load int, slowdown float64) time.Duration {
-	over := load - srv.Slots + 1
-	if over <= 0 {
+func (s *service) expectedWait(srv *server, load int, slowdown float64, now time.Time) time.Duration {
+	if load < srv.Slots {
 		return 0
 	}
-	return time.Duration(float64(s.durations.Mean()) * slowdown * float64(over) / float64(srv.Slots))
+	return srv.queue.ExpectedWait(&s.work, slowdown, srv.Slots, srv.unseen(now), now)
 }
 
+// lateProbability returns the probability that a request with the model of its class takes longer than left, if its wait for a
+// slot is expected to take wait. How long the requests before it run is as uncertain as its own duration.
+func lateProbability(model *workload.ClassModel, left, wait time.Duration, slowdown float64) float64 {
+	if wait == 0 {
+		return model.Durations.ExceedProbability(left, slowdown)
+	}
+	sum := 0.0
+	for _, part := range waitQuantiles {
+		sum += model.Durations.ExceedProbability(left-time.Duration(part*float64(wait)), slowdown)
+	}
+	return sum / float64(len(waitQuantiles))
+}
+
+// waitQuantiles are quantiles of the wait for a slot, in multiples of the expected one: those of equal thirds of an exponential
+// distribution.
+var waitQuantiles = [...]float64{0.19, 0.72, 2.09}
+
 // openLogRatio returns the log likelihood ratio, unhealthy against healthy, of the requests that this VM has open at a
 // backend server.
 func (s *service) openLogRatio(srv *server, slowdown float64, now time.Time) float64 {
 	sum := 0.0
-	for _, started := range srv.open {
-		sum += s.durations.OpenLogRatio(time.Duration(float64(now.Sub(started)) / max(slowdown, 1)))
-	}
+	srv.queue.EachOwn(now, func(class workload.Class, age time.Duration) {
+		sum += s.work.Of(class).Usual.OpenLogRatio(time.Duration(float64(age) / max(slowdown, 1)))
+	})
 	return sum
 }
 
@@ -215,9 +244,9 @@
 	}
 }
 
-// distanceCost returns the cost of the traffic to a backend server in another zone or region.
-func (s *service) distanceCost(srv *server) float64 {
-	kb := s.meanBytes / 1024
+// distanceCost returns the cost of the traffic of a request and its answer to a backend server in another zone or region.
+func (s *service) distanceCost(srv *server, bytes float64) float64 {
+	kb := bytes / 1024
 	switch s.distance(srv) {
 	case sameZone:
 		return 0
--- a/internal/dispatch/question.go
+++ b/internal/dispatch/question.go
@@ -107,7 +107,7 @@
 	for _, h := range known {
 		if srv := s.servers[h.Server]; srv != nil {
 			srv.estimate.Adopt(now, h.Unhealthy, answerLifetime/2)
-			srv.reported = peerCount{open: h.Open, at: now}
+			srv.reported = reportedLoad{open: h.Open, at: now}
 		}
 	}
 	if len(known) > 0 {
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -12,6 +12,7 @@
 	"github.com/primroseladder/primroseladder/internal/logevent"
 	"github.com/primroseladder/primroseladder/internal/roster"
 	"github.com/primroseladder/primroseladder/internal/tcpdial"
+	"github.com/primroseladder/primroseladder/internal/workload"
 )
 
 const (
@@ -25,8 +26,8 @@
 	minConnections = 8
 	// maxIdle is how long an idle connection is kept if the backend server announces no idle timeout.
 	maxIdle = 7 * time.Second
-	// peerOpenLifetime is how long a peer's count of open requests is valid without an update. Peers send one at each
-	// start and end.
+	// peerOpenLifetime is how long the open requests of a peer at a backend server count without evidence from it. Peers send
+	// evidence at each start and end.
 	peerOpenLifetime = 4 * time.Second
 )
 
@@ -49,31 +50,31 @@
 	unreachableAt time.Time
 	// shedUntil is how long shedCost applies after the backend server refused a request.
 	shedUntil time.Time
-	// open holds the start times of this VM's open requests, by reservation.openID.
-	open map[uint64]time.Time
-	// peerOpen holds the numbers of open requests of other VMs, by peer.
-	peerOpen map[string]peerCount
+	// queue holds the requests that are open at the backend server.
+	queue workload.Queue
 	// reported is the number of open requests of all VMs, as of the last answer to a question of this VM.
-	reported peerCount
+	reported reportedLoad
 }
 
-type peerCount struct {
+// reportedLoad is the number of requests that all VMs have open at a backend server, as another VM has said.
+type reportedLoad struct {
 	open int
 	at   time.Time
 }
 
+// unseen returns the number of reported requests that are open at the backend server besides those of the queue. The caller
+// must have removed the expired ones.
+func (srv *server) unseen(now time.Time) int {
+	if now.Sub(srv.reported.at) >= reportedLoadLifetime {
+		return 0
+	}
+	return max(0, srv.reported.open-srv.queue.Len())
+}
+
 // load returns the number of requests open at the backend server, as far as this VM knows.
 func (srv *server) load(now time.Time) int {
-	n := len(srv.open)
-	for _, p := range srv.peerOpen {
-		if now.Sub(p.at) < peerOpenLifetime {
-			n += p.open
-		}
-	}
-	if now.Sub(srv.reported.at) < reportedLoadLifetime {
-		n = max(n, srv.reported.open)
-	}
-	return n
+	srv.queue.Expire(peerOpenLifetime, srv.Slots, now)
+	return srv.queue.Len() + srv.unseen(now)
 }
 
 // service is the state of one service on this VM.
@@ -87,10 +88,10 @@
 	advice map[incarnation]*advice
 	// byDistance holds the servers in ascending order of distanceCost.
 	byDistance []*server
-	durations  evidence.DurationModel
+	work       workload.Model
 	recent     failureWindow
 	budget     retryBudget
-	nextOpenID uint64
+	nextNumber uint16
 	// evidenceAt is when this VM last got evidence on the service from other VMs, or of its own if it serves the service.
 	evidenceAt time.Time
 	question   healthQuestion
@@ -103,15 +104,13 @@
 	// cachedInServiceLimit is the result of inServiceLimit at inServiceLimitAt.
 	cachedInServiceLimit float64
 	inServiceLimitAt     time.Time
-	// meanBytes is the moving mean of the size of a request and its answer.
-	meanBytes float64
 }
 
 func newService(name string, o *Options, now time.Time) *service {
 	return &service{
 		name: name, options: o, servers: map[string]*server{}, advice: map[incarnation]*advice{},
-		durations: evidence.NewDurationModel(initialDuration),
-		budget:    retryBudget{perRequest: o.RetryRatio, window: o.RetryWindow, refilled: now},
+		work:   workload.NewModel(initialDuration),
+		budget: retryBudget{perRequest: o.RetryRatio, window: o.RetryWindow, refilled: now},
 	}
 }
 
@@ -157,8 +156,7 @@
 	added := &server{
 		Server: entry, advice: s.adviceFor(incarnationOf(entry), now), path: evidence.NewPathEstimate(),
 		warmupUntil: now.Add(entry.WarmupRemaining),
-		open:        map[uint64]time.Time{}, peerOpen: map[string]peerCount{},
-		pool: s.options.Connect(entry, max(minConnections, maxConnections/connectionShareDivisor)),
+		pool:        s.options.Connect(entry, max(minConnections, maxConnections/connectionShareDivisor)),
 	}
 	if s.hadServers {
 		added.joined = now
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -216,7 +216,7 @@
 	line := func(e logevent.Event) *zerolog.Event {
 		return e.Log(h.Log).Str("request", r.ID).Str("route", r.Target.Name).Str("service", r.Service).
 			Uint64("config", r.ConfigVersion).Str("organisation", r.Organisation).Str("server", result.Server).Float64("sick", result.UnhealthyProbability).
-			Bool("trial", result.IsTrial).Int("attempts", result.Attempts).Dur("took_ms", took).Int("body_bytes", len(r.Body)).
+			Bool("trial", result.IsTrial).Dur("wait_ms", result.ExpectedWait).Int("attempts", result.Attempts).Dur("took_ms", took).Int("body_bytes", len(r.Body)).
 			Uint32("body_crc32", crc32.ChecksumIEEE(r.Body))
 	}
 	switch result.Outcome {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -18,11 +18,15 @@
 // 0.6 to 1.5 s.
 var latencyBuckets = []float64{0.05, 0.1, 0.2, 0.3, 0.45, 0.6, 0.8, 1, 1.5, 2, 3, 4}
 
+// waitBuckets are the upper bounds of the histogram of expected waits in seconds. The first one holds those that find a free slot.
+var waitBuckets = []float64{0, 0.05, 0.1, 0.3, 1, 3}
+
 // Metrics are the metrics of one gateway.
 type Metrics struct {
 	registry         *prometheus.Registry
 	requests         *prometheus.CounterVec
 	latency          *prometheus.HistogramVec
+	expectedWait     *prometheus.HistogramVec
 	attempts         *prometheus.CounterVec
 	refusedKeys      *prometheus.CounterVec
 	evidenceSent     prometheus.Counter
@@ -39,6 +43,10 @@
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "request_seconds", Help: "Time from arrival to answer.", Buckets: latencyBuckets,
 		}, []string{"service", "outcome"}),
+		expectedWait: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "expected_wait_seconds", Buckets: waitBuckets,
+			Help: "How long the last attempt of a request was expected to wait for a slot of its backend server.",
+		}, []string{"service"}),
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "attempts_total", Help: "Attempts at backend servers by outcome.",
 		}, []string{"service", "outcome"}),
@@ -52,7 +60,7 @@
 			Namespace: namespace, Name: "evidence_heard_total", Help: "Evidence received from other VMs.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.refusedKeys, m.evidenceSent, m.evidenceReceived)
+	m.registry.MustRegister(m.requests, m.latency, m.expectedWait, m.attempts, m.refusedKeys, m.evidenceSent, m.evidenceReceived)
 	return m
 }
 
@@ -71,6 +79,9 @@
 	outcome := r.Outcome.String()
 	m.requests.WithLabelValues(service, outcome, r.Reason).Inc()
 	m.latency.WithLabelValues(service, outcome).Observe(took.Seconds())
+	if r.Attempts > 0 {
+		m.expectedWait.WithLabelValues(service).Observe(r.ExpectedWait.Seconds())
+	}
 }
 
 // RecordRefusedKey counts a request that was refused because of its key.
--- a/internal/vmpeer/codec.go
+++ b/internal/vmpeer/codec.go
@@ -20,6 +20,7 @@
 	"github.com/primroseladder/primroseladder/internal/evidence"
 	"github.com/primroseladder/primroseladder/internal/membership"
 	"github.com/primroseladder/primroseladder/internal/poison"
+	"github.com/primroseladder/primroseladder/internal/workload"
 )
 
 // datagramKind is the type of a datagram, sent as its first byte.
@@ -78,7 +79,7 @@
 
 // encodeEvidence encodes, after the kind, the number of open requests (1 byte, at most 255), the outcome (1 byte), the
 // duration in milliseconds (4 bytes, big endian), and the names of the service and the backend server. What the backend server
-// says about itself follows if it says anything: see appendStatement.
+// says about itself follows if it says anything, and then which request it is: see appendStatement and appendWork.
 func encodeEvidence(e dispatch.Evidence) []byte {
 	out := []byte{byte(kindEvidence), byte(min(e.Open, 255)), releasedOutcome}
 	switch {
@@ -93,7 +94,7 @@
 	out = binary.BigEndian.AppendUint32(out, uint32(e.Took.Milliseconds()))
 	out = appendName(out, e.Service)
 	out = appendName(out, e.Server)
-	return appendStatement(out, e.Statement)
+	return appendWork(appendStatement(out, e.Statement), len(out), e.Work)
 }
 
 func decodeEvidence(body []byte) (dispatch.Evidence, error) {
@@ -116,7 +117,10 @@
 	if e.Server, rest, err = decodeName(rest); err != nil {
 		return e, err
 	}
-	e.Statement, err = decodeStatement(rest)
+	if e.Statement, err = decodeStatement(rest); err != nil {
+		return e, err
+	}
+	e.Work, err = decodeWork(rest)
 	return e, err
 }
 
@@ -126,8 +130,41 @@
 	// limitBit is set if the limit follows the incarnation (8 bytes, IEEE 754, big endian).
 	limitBit   = 0x02
 	noLimitBit = 0x04
+	// workBit is set if workBytes that say which request the evidence is of follow.
+	workBit = 0x08
 )
 
+// workBytes is the size of the work in evidence. It is that of the incarnation in a statement, for which VMs of earlier versions
+// take it in evidence without a statement.
+const workBytes = 8
+
+// appendWork appends the class (4 bytes, big endian), the number of the request (2 bytes, big endian) and 2 bytes of zeros, and
+// sets workBit in the flags at the given offset. Evidence without a statement gets flags for it.
+func appendWork(out []byte, flags int, w dispatch.Work) []byte {
+	if w == (dispatch.Work{}) {
+		return out
+	}
+	if len(out) == flags {
+		out = append(out, 0)
+	}
+	out[flags] |= workBit
+	out = binary.BigEndian.AppendUint32(out, uint32(w.Class))
+	out = binary.BigEndian.AppendUint16(out, w.Number)
+	return append(out, 0, 0)
+}
+
+// decodeWork decodes the work after the statement that begins with flags.
+func decodeWork(in []byte) (dispatch.Work, error) {
+	if len(in) == 0 || in[0]&workBit == 0 {
+		return dispatch.Work{}, nil
+	}
+	work := in[statementSize(in[0]):]
+	if len(work) < workBytes {
+		return dispatch.Work{}, fmt.Errorf("decode work: %d bytes are fewer than the minimum of %d", len(work), workBytes)
+	}
+	return dispatch.Work{Class: workload.Class(binary.BigEndian.Uint32(work)), Number: binary.BigEndian.Uint16(work[4:])}, nil
+}
+
 // appendStatement appends a statement as one byte of flags, the incarnation of the backend server (8 bytes, big endian) and
 // its limit, if it names one. It appends nothing if the backend server says nothing about itself.
 func appendStatement(out []byte, s dispatch.Statement) []byte {
@@ -151,14 +188,22 @@
 	return out
 }
 
+// statementSize returns the encoded size of a statement with the given flags.
+func statementSize(flags byte) int {
+	switch {
+	case flags&^workBit == 0:
+		return 1
+	case flags&limitBit != 0:
+		return 17
+	}
+	return 9
+}
+
 func decodeStatement(in []byte) (dispatch.Statement, error) {
-	if len(in) == 0 {
+	if len(in) == 0 || in[0]&^workBit == 0 {
 		return dispatch.Statement{}, nil
 	}
-	size := 9
-	if in[0]&limitBit != 0 {
-		size = 17
-	}
+	size := statementSize(in[0])
 	if len(in) < size {
 		return dispatch.Statement{}, fmt.Errorf("decode statement: %d bytes are fewer than the minimum of %d", len(in), size)
 	}
--- a/internal/vmpeer/codec_test.go
+++ b/internal/vmpeer/codec_test.go
@@ -17,6 +17,8 @@
 	for _, e := range []dispatch.Evidence{
 		{Service: "s", Server: "i-1", Open: 3},
 		{Service: "s", Server: "i-1", Open: 3, IsStart: true},
+		{Service: "s", Server: "i-1", Open: 3, IsStart: true, Work: dispatch.Work{Class: 0xfedcba98, Number: 0xfedc}},
+		{Service: "s", Server: "i-1", Statement: dispatch.Statement{Limit: 0.25, Incarnation: 7}, Work: dispatch.Work{Class: 5, Number: 6}},
 		{Service: "s", Server: "i-1", HasOutcome: true, Outcome: evidence.Hung, Took: 1500 * time.Millisecond},
 		{Service: "s", Server: "i-1", HasOutcome: true, Outcome: evidence.Failure, IsTrial: true},
 		{Service: "s", Server: "i-1", HasOutcome: true, Outcome: evidence.UsualFailure, IsTrial: true},
@@ -32,7 +34,7 @@
 
 // TestEvidenceIsSmall checks that an evidence datagram has at most 40 bytes.
 func TestEvidenceIsSmall(t *testing.T) {
-	e := dispatch.Evidence{Service: "wuno96b", Server: "i-7f3a91c2b4"}
+	e := dispatch.Evidence{Service: "wuno96b", Server: "i-7f3a91c2b4", Work: dispatch.Work{Class: 1, Number: 1}}
 	qt.Check(t, len(encodeEvidence(e)) <= 40, qt.IsTrue)
 }
 
