--- a/internal/dispatch/work_test.go
+++ b/internal/dispatch/work_test.go
@@ -80,7 +80,7 @@
 			Zone: zones[i%2], Region: "r", Regions: map[string]string{"a": "r", "b": "r"}, Protocol: simProtocol, Log: zerolog.Nop(),
 			Connect:       func(to roster.Server, _ int) dispatch.ConnectionPool { return f.servers[to.ID] },
 			ShareEvidence: func(e dispatch.Evidence) { f.share(i, e) },
-			ShareCrash:    func(poison.Fingerprint, string) {},
+			ShareCrash:    func(poison.Crash) {},
 			RetryRatio:    0.2, RetryWindow: 10 * time.Second, RetryAllowance: func(string) float64 { return 9 },
 		}))
 		f.vms[i].Update(list, config)
