An answer that is cut off by a backend server which has ended is a crash

Cause: a truncated answer counted as a fault of the server, never as a crash. It is a fault of servers that go on.

The test failed before: TestCrashWithinAnAnswer, identity_test.go:124: got: int32(12) want: int32(2)

Change: after a truncated answer the VM opens a connection to the server. Where it is refused, the server has ended, and the request is charged with a crash. The request of a server that goes on is not, which the same test checks.

Ruled out: other connections that break at the same moment (a VM often has one only), a new incarnation in the registrations (seconds late).

--- a/internal/backend/answer_test.go
+++ b/internal/backend/answer_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/primroseladder/primroseladder/internal/listen/listentest"
 )
 
 const ownID = "Primrose-Request-Id: own\r\n"
@@ -178,6 +180,13 @@
 	}
 }
 
+// TestRefusesConnections checks that a backend server which has ended is told from one that goes on.
+func TestRefusesConnections(t *testing.T) {
+	peer := newRawPeer(t, func(*http.Request, string, int) (string, bool) { return "", true })
+	qt.Check(t, NewPool(peer.address(), 1).RefusesConnections(context.Background()), qt.IsFalse)
+	qt.Check(t, NewPool(listentest.FreeAddress(t), 1).RefusesConnections(context.Background()), qt.IsTrue)
+}
+
 // TestClosedPoolKeepsNoConnection checks that a connection in use while its pool is closed is not kept afterwards.
 func TestClosedPoolKeepsNoConnection(t *testing.T) {
 	c := qt.New(t)
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -117,6 +117,16 @@
 	return answer, nil
 }
 
+// RefusesConnections reports whether nothing listens at the address of the backend server. It opens a connection and closes it.
+func (p *Pool) RefusesConnections(ctx context.Context) bool {
+	raw, err := p.options.Dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = raw.Close()
+	return false
+}
+
 // exchange writes the request and reads the answer. It reports whether the connection can be reused.
 func exchange(c *conn, r *Request) (*Answer, bool, *AttemptError) {
 	started, err := c.write(r)
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -22,6 +22,8 @@
 	// backend server. Some backend servers drop idle connections after a few seconds and reset them at the next
 	// request.
 	minIdleForAmbiguousReset = time.Second
+	// endedTimeout is how long a backend server that cut its answer off may take to accept a connection or refuse it.
+	endedTimeout = 100 * time.Millisecond
 	// maxAnswerBytes limits the body of an answer, which is buffered in memory.
 	maxAnswerBytes = 16 << 20
 )
@@ -234,7 +236,7 @@
 		res.complete(evidence.Unreachable, 0)
 		return a.setNotRun(reasonConnect, stepNextServer)
 	}
-	if backend.IsConnectionBroken(err) {
+	if backend.IsConnectionBroken(err) || errors.Is(err, backend.ErrAnswerTruncated) && hasEnded(ctx, res.pool) {
 		if backend.ConnIdleBefore(err) >= minIdleForAmbiguousReset {
 			res.complete(evidence.Failure, 0)
 		} else {
@@ -250,6 +252,20 @@
 	return a.setUnknown(reasonGarbled)
 }
 
+// hasEnded reports whether the backend server of a pool accepts no connections. An answer that was cut off is the fault of a
+// backend server that goes on, and the crash of one that does not.
+func hasEnded(ctx context.Context, pool ConnectionPool) bool {
+	refuser, canTell := pool.(interface {
+		RefusesConnections(ctx context.Context) bool
+	})
+	if !canTell {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, endedTimeout)
+	defer cancel()
+	return refuser.RefusesConnections(ctx)
+}
+
 // afterContextDone sets the result after the caller has disconnected or the deadline has passed.
 func (a *attemptLoop) afterContextDone(ctx context.Context, res *reservation, mayHaveStarted bool) nextStep {
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/internal/dispatch/identity_test.go
+++ b/internal/dispatch/identity_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -83,6 +84,50 @@
 	})
 }
 
+// cuttingPool is a backend server that cuts its answers off, and ends with the first one if hasEnded is set.
+type cuttingPool struct {
+	simPath
+	sends    *atomic.Int32
+	hasEnded bool
+}
+
+func (p cuttingPool) Do(context.Context, *backend.Request) (*backend.Answer, error) {
+	p.sends.Add(1)
+	return nil, &backend.AttemptError{MayHaveStarted: true, Err: backend.ErrAnswerTruncated}
+}
+
+func (p cuttingPool) RefusesConnections(context.Context) bool { return p.hasEnded }
+
+// TestCrashWithinAnAnswer guards against a request whose backend servers end within their answer, which is then sent without end,
+// and against a request that is blocked because faulty backend servers cut their answers off and go on.
+func TestCrashWithinAnAnswer(t *testing.T) {
+	for _, hasEnded := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			const requests = 12
+			s := newSim(t, 18, route.NonIdempotent, true)
+			var sends atomic.Int32
+			vm := dispatch.New(dispatch.Options{
+				Zone: "a", Region: "r", Regions: map[string]string{"a": "r"}, Protocol: simProtocol, Log: zerolog.Nop(),
+				Connect: func(roster.Server, int) dispatch.ConnectionPool {
+					return cuttingPool{sends: &sends, hasEnded: hasEnded}
+				},
+				ShareEvidence: func(dispatch.Evidence) {}, ShareCrash: func(poison.Crash) {},
+				RetryWindow: time.Second, RetryAllowance: func(string) float64 { return 0 },
+			})
+			vm.Update(s.list(), nil)
+			for range requests {
+				vm.Do(context.Background(), s.request(0))
+				time.Sleep(time.Second)
+			}
+			want := int32(requests)
+			if hasEnded {
+				want = 2
+			}
+			qt.Check(t, sends.Load(), qt.Equals, want)
+		})
+	}
+}
+
 // fakePools records by address which requests were sent and which connection pools were closed.
 type fakePools struct {
 	mu     sync.Mutex
