dispatch, room: the VMs of a region share the retry budget of a service

Each VM had its own budget. The slack was divided equally among the VMs that serve the service, nearly all of whose requests come to one VM in each zone.

Change: package room holds the budget of a service without a network or lock. Each VM counts the requests and retries of all VMs that it hears of, by the evidence that they exchange already and one datagram a retry, checks every window that includes the present against the rule, and paces itself by its part of the requests. When it runs short, a part is kept for requests that go first, as many as these have lately asked for: those of a higher priority, those of other organisations if its own has had more than its turn, and those that can still be answered within their target latency. A request with too little time left gets none. 1609 says why a request got no retry; retries_total counts them.

TestRetriesStayWithinTheWindow moves to package room and now plays one and several VMs with lost evidence against the users' rule. Its former bound, the share of the same window's requests alone, was narrower than the rule for one VM and said nothing of several.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -99,7 +99,7 @@
 	if next == stepNextServer {
 		return true
 	}
-	return a.sent < a.request.Target.MaxAttempts && a.service.takeRetry(time.Now())
+	return a.sent < a.request.Target.MaxAttempts && a.service.takeRetry(a.request, a.deadline, time.Now())
 }
 
 // result returns the result of the request. An answer that reports failure is still an answer: it is returned if no
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -108,6 +109,8 @@
 	// Statement is what the backend server says about itself in its answer. IsNews is set if this VM did not know it.
 	Statement Statement
 	IsNews    bool
+	// IsRetry is set if the VM has taken a retry from the budget of the service. Nothing else but Service is set then.
+	IsRetry bool
 }
 
 // Work identifies a request that a VM sends to a backend server. The zero value is that of a VM that sends only the number of
@@ -160,7 +163,12 @@
 	RetryWindow time.Duration
 	// RetryAllowance returns how many retries in a window this VM may send to a service in addition to RetryRatio.
 	RetryAllowance func(service string) float64
-	Log            zerolog.Logger
+	// RegionRetryAllowance returns the same for all VMs of the region that share evidence on the service, which is the most that
+	// they have together. If it is nil, it is that of this VM for each VM that it hears of.
+	RegionRetryAllowance func(service string) float64
+	// RecordRetry is called with each request that asks for a retry. isSent is set if it gets one.
+	RecordRetry func(service string, priority int, isSent bool)
+	Log         zerolog.Logger
 }
 
 // Dispatcher sends requests to backend servers.
@@ -186,6 +194,12 @@
 	if o.Memory == nil {
 		o.Memory = membudget.New(answerMemoryBytes)
 	}
+	if o.RegionRetryAllowance == nil {
+		o.RegionRetryAllowance = func(string) float64 { return math.Inf(1) }
+	}
+	if o.RecordRetry == nil {
+		o.RecordRetry = func(string, int, bool) {}
+	}
 	if o.Connect == nil {
 		o.Connect = o.connectTCP()
 	}
--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -172,6 +172,7 @@
 func (s *service) receiveEvidence(peer string, e Evidence, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.countPeerRequest(peer, e, now)
 	s.adopt(e.Server, e.Statement, now.Add(-e.Took), now)
 	srv := s.servers[e.Server]
 	if srv == nil {
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -10,6 +10,7 @@
 	"github.com/primroseladder/primroseladder/internal/backend"
 	"github.com/primroseladder/primroseladder/internal/evidence"
 	"github.com/primroseladder/primroseladder/internal/logevent"
+	"github.com/primroseladder/primroseladder/internal/room"
 	"github.com/primroseladder/primroseladder/internal/roster"
 	"github.com/primroseladder/primroseladder/internal/tcpdial"
 	"github.com/primroseladder/primroseladder/internal/workload"
@@ -90,7 +91,7 @@
 	byDistance []*server
 	work       workload.Model
 	recent     failureWindow
-	budget     retryBudget
+	budget     *room.RetryBudget
 	nextNumber uint16
 	// evidenceAt is when this VM last got evidence on the service from other VMs, or of its own if it serves the service.
 	evidenceAt time.Time
@@ -110,7 +111,7 @@
 	return &service{
 		name: name, options: o, servers: map[string]*server{}, advice: map[incarnation]*advice{},
 		work:   workload.NewModel(initialDuration),
-		budget: retryBudget{perRequest: o.RetryRatio, window: o.RetryWindow, refilled: now},
+		budget: room.NewRetryBudget(o.RetryRatio, o.RetryWindow, now),
 	}
 }
 
@@ -174,17 +175,3 @@
 		})
 	}
 }
-
-func (s *service) countRequest() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.budget.earn()
-}
-
-// takeRetry takes one retry from the budget and reports whether there was one.
-func (s *service) takeRetry(now time.Time) bool {
-	allowance := s.options.RetryAllowance(s.name)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.budget.take(now, allowance)
-}
--- a/internal/gateway/groups.go
+++ b/internal/gateway/groups.go
@@ -69,6 +69,11 @@
 	return g.settings.Get().RetrySlack * dividedSlackShare / float64(current.memberCount)
 }
 
+// RegionRetryAllowance returns the sum of RetryAllowance over the VMs of the local region.
+func (g *Groups) RegionRetryAllowance(service string) float64 {
+	return g.RetryAllowance(service) * float64(1+len(g.get(service).localAddresses))
+}
+
 // get returns the group of a service, at most groupLifetime old.
 func (g *Groups) get(service string) group {
 	g.mu.Lock()
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -144,7 +144,8 @@
 		Crashes:    crashes,
 		ShareCrash: endpoint.SendCrash,
 		Serves:     g.Serves, AskHealth: endpoint.AskHealth,
-		RetryRatio: s.RetryRatio, RetryWindow: s.RetryWindow, RetryAllowance: g.RetryAllowance, Log: log,
+		RetryRatio: s.RetryRatio, RetryWindow: s.RetryWindow, RetryAllowance: g.RetryAllowance,
+		RegionRetryAllowance: g.RegionRetryAllowance, RecordRetry: m.RecordRetry, Log: log,
 	})
 }
 
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -77,6 +77,7 @@
 	RequestRefused   = Event{1601, zerolog.WarnLevel, "request refused without having run"}
 	RequestFailed    = Event{1602, zerolog.WarnLevel, "request ended without an answer of a backend server"}
 	RequestAnswered  = Event{1603, zerolog.InfoLevel, "request answered"}
+	RetryDenied      = Event{1609, zerolog.InfoLevel, "no further attempt of a request"}
 	AttemptFailed    = Event{1605, zerolog.WarnLevel, "an attempt failed and another one follows"}
 	CallerConnFailed = Event{1606, zerolog.WarnLevel, "a caller's connection could not be accepted or was closed without its answers"}
 	Overloaded       = Event{1608, zerolog.WarnLevel, "this VM runs late and refuses requests"}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -29,6 +30,7 @@
 	expectedWait     *prometheus.HistogramVec
 	attempts         *prometheus.CounterVec
 	refusedKeys      *prometheus.CounterVec
+	retries          *prometheus.CounterVec
 	evidenceSent     prometheus.Counter
 	evidenceReceived prometheus.Counter
 }
@@ -53,6 +55,10 @@
 		refusedKeys: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "refused_keys_total", Help: "Requests that were refused because of their keys, by reason.",
 		}, []string{"reason"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "retries_total",
+			Help: "Requests that asked for a retry, by service, priority and whether they got one.",
+		}, []string{"service", "priority", "result"}),
 		evidenceSent: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "evidence_sent_total", Help: "Evidence sent to other VMs.",
 		}),
@@ -60,7 +66,9 @@
 			Namespace: namespace, Name: "evidence_heard_total", Help: "Evidence received from other VMs.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.expectedWait, m.attempts, m.refusedKeys, m.evidenceSent, m.evidenceReceived)
+	m.registry.MustRegister(
+		m.requests, m.latency, m.expectedWait, m.attempts, m.refusedKeys, m.retries, m.evidenceSent, m.evidenceReceived,
+	)
 	return m
 }
 
@@ -89,6 +97,18 @@
 	m.refusedKeys.WithLabelValues(string(reason)).Inc()
 }
 
+// maxPriority is the lowest priority that is counted by itself. Requests of lower ones are counted with it.
+const maxPriority = 9
+
+// RecordRetry counts a request that has asked for a retry.
+func (m *Metrics) RecordRetry(service string, priority int, isSent bool) {
+	result := "denied"
+	if isSent {
+		result = "sent"
+	}
+	m.retries.WithLabelValues(service, strconv.Itoa(min(max(priority, 0), maxPriority)), result).Inc()
+}
+
 // RecordSentEvidence counts evidence that is sent to other VMs. If the evidence has an outcome, it also counts the
 // attempt of this VM that ended with this outcome.
 func (m *Metrics) RecordSentEvidence(e dispatch.Evidence) {
--- a/internal/vmpeer/codec.go
+++ b/internal/vmpeer/codec.go
@@ -94,6 +94,10 @@
 	out = binary.BigEndian.AppendUint32(out, uint32(e.Took.Milliseconds()))
 	out = appendName(out, e.Service)
 	out = appendName(out, e.Server)
+	if e.IsRetry {
+		// VMs of an earlier version take it for a statement that says nothing.
+		return binary.BigEndian.AppendUint64(append(out, retryBit), 0)
+	}
 	return appendWork(appendStatement(out, e.Statement), len(out), e.Work)
 }
 
@@ -117,6 +121,7 @@
 	if e.Server, rest, err = decodeName(rest); err != nil {
 		return e, err
 	}
+	e.IsRetry = len(rest) > 0 && rest[0]&retryBit != 0
 	if e.Statement, err = decodeStatement(rest); err != nil {
 		return e, err
 	}
@@ -132,6 +137,8 @@
 	noLimitBit = 0x04
 	// workBit is set if workBytes that say which request the evidence is of follow.
 	workBit = 0x08
+	// retryBit is set if the datagram tells of a retry of the service, not of a backend server.
+	retryBit = 0x10
 )
 
 // workBytes is the size of the work in evidence. It is that of the incarnation in a statement, for which VMs of earlier versions
--- a/internal/vmpeer/codec_test.go
+++ b/internal/vmpeer/codec_test.go
@@ -19,6 +19,7 @@
 		{Service: "s", Server: "i-1", Open: 3, IsStart: true},
 		{Service: "s", Server: "i-1", Open: 3, IsStart: true, Work: dispatch.Work{Class: 0xfedcba98, Number: 0xfedc}},
 		{Service: "s", Server: "i-1", Statement: dispatch.Statement{Limit: 0.25, Incarnation: 7}, Work: dispatch.Work{Class: 5, Number: 6}},
+		{Service: "s", IsRetry: true},
 		{Service: "s", Server: "i-1", HasOutcome: true, Outcome: evidence.Hung, Took: 1500 * time.Millisecond},
 		{Service: "s", Server: "i-1", HasOutcome: true, Outcome: evidence.Failure, IsTrial: true},
 		{Service: "s", Server: "i-1", HasOutcome: true, Outcome: evidence.UsualFailure, IsTrial: true},
