dispatch, room: a refusal says less of a server where most servers refuse

Cause: a refusal counted as evidence that the server is unhealthy, by the same factor whatever the others did. With all refusing, all seemed unhealthy, and the servers that fail what they run were asked as often as the others.

Change: the weight of a refusal, as evidence and as the cost of asking the server again at once, falls with the share of refusals in the service over the last 2 s, from 1 where a quarter is refused to 0 where half is.

--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -115,6 +115,7 @@
 	if mayBePathFault(outcome) {
 		weight = pathOutcomeWeight
 	}
+	weight *= s.refusalWeight(outcome, now)
 	before := srv.estimate.UnhealthyProbability(now)
 	srv.estimate.Observe(now, outcome, weight)
 	after := srv.estimate.UnhealthyProbability(now)
@@ -130,7 +131,7 @@
 	case evidence.Unreachable:
 		srv.unreachableAt = now
 	case evidence.Shed:
-		srv.shedUntil = now.Add(shedPause)
+		srv.shedUntil, srv.shedWeight = now.Add(shedPause), weight
 	}
 	if before < unhealthyThreshold && after >= unhealthyThreshold {
 		logevent.BackendUnhealthy.Log(s.options.Log).Str("service", s.name).Str("server", srv.ID).
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -201,7 +201,7 @@
 		cost += connectCost
 	}
 	if now.Before(srv.shedUntil) {
-		cost += shedCost
+		cost += shedCost * srv.shedWeight
 	}
 	if isNew(srv, now) {
 		cost -= joinBonus
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -51,6 +51,8 @@
 	unreachableAt time.Time
 	// shedUntil is how long shedCost applies after the backend server refused a request.
 	shedUntil time.Time
+	// shedWeight is the part of shedCost that applies until then.
+	shedWeight float64
 	// queue holds the requests that are open at the backend server.
 	queue workload.Queue
 	// reported is the number of open requests of all VMs, as of the last answer to a question of this VM.
@@ -91,6 +93,8 @@
 	byDistance []*server
 	work       workload.Model
 	recent     failureWindow
+	// refusals counts the requests that backend servers have refused to run.
+	refusals   failureWindow
 	budget     *room.RetryBudget
 	nextNumber uint16
 	// evidenceAt is when this VM last got evidence on the service from other VMs, or of its own if it serves the service.
--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -48,6 +48,8 @@
 	sim *sim
 	// failing returns the share of its requests that the backend server fails at the given time.
 	failing func(at time.Duration) float64
+	// refusing, if set, returns the share of its requests that the backend server refuses to run at the given time.
+	refusing func(at time.Duration) float64
 	// hangs reports whether requests from a VM get no answer at the given time.
 	hangs func(vm string, at time.Duration) bool
 	// crashes is set if each request ends the process of the backend server, which is restarted at once.
@@ -211,6 +213,12 @@
 		time.Sleep(crashDelay)
 		return nil, &backend.AttemptError{MayHaveStarted: true, Err: syscall.ECONNRESET}
 	}
+	if s.refusing != nil && s.sim.float() < s.refusing(at) {
+		time.Sleep(time.Millisecond)
+		refusal := s.answer(r, http.StatusServiceUnavailable)
+		refusal.Header[simProtocol.NotExecuted] = []string{"1"}
+		return refusal, nil
+	}
 	select {
 	case s.slots <- struct{}{}:
 		defer func() { <-s.slots }()
