Allowances of organisations over the whole fleet

Change: package allowance. The largest VMs count each organisation for the whole fleet and report to each other; silent ones keep their share of what was left and of the rate, so that both sides of a cut stay within the limit; all other VMs ask. Datagrams in vmpeer, wiring and metrics in gateway, design note, events and operator's documentation.

Ruled out: all VMs counting (reports grow with the square), one owner for each organisation (its loss takes the allowance away), counters in the store; see docs/design/allowances.md.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -68,6 +68,14 @@
 	})
 	m.RegisterCounter("blocked_in_error_total", "Requests that were refused as blocked although a backend server has answered the same one later.",
 		func() float64 { return float64(in.Blocks.Registry.BlockedInError()) })
+	m.RegisterCounter("allowance_refused_total", "Requests beyond the allowance of their organisation.", func() float64 {
+		return float64(in.Allowances.Refused())
+	})
+	m.RegisterCounter("allowance_unknown_total", "Requests refused since no VM could tell what is left of the allowance.", func() float64 {
+		return float64(in.Allowances.Unconfirmed())
+	})
+	m.RegisterLabelledCounter("allowance_refused_by_organisation", "Requests beyond the allowance, of the organisations with the most.",
+		"organisation", in.Allowances.MostRefused)
 	m.RegisterGauge("neighbours", "Other live VMs of the availability zone, and store readers of other zones.", func() float64 {
 		return float64(len(in.Fleet.Sources()))
 	})
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
+	"github.com/primroseladder/primroseladder/internal/allowance"
 	"github.com/primroseladder/primroseladder/internal/blocklist"
 	"github.com/primroseladder/primroseladder/internal/dispatch"
 	"github.com/primroseladder/primroseladder/internal/ingress"
@@ -52,6 +53,7 @@
 		fx.Provide(
 			newSelf, newFleet, newBlocks, newMemory, func() *poison.Registry { return poison.NewRegistry(poison.DefaultWindow) },
 			NewGroups, newEndpoint, newDispatcher, newMirror, metrics.New, ingress.NewRates, lag.NewMonitor, newKeyProofs,
+			newAllowances,
 			func(
 				d *dispatch.Dispatcher, f *membership.Fleet, b *blocklist.List, self membership.Member, r *membership.Registrar,
 			) *State {
@@ -196,6 +198,8 @@
 	// Rates are sent to the other VMs of the zone in heartbeats.
 	Rates *ingress.Rates
 	Lag   *lag.Monitor
+	// Allowances keeps the requests of organisations within their allowances.
+	Allowances *allowance.Service
 	// Memory bounds what this VM holds for callers and backend servers.
 	Memory *membudget.Budget
 	Log    zerolog.Logger
@@ -236,6 +240,7 @@
 	listen.Background(lc, in.Blocks.Run)
 	listen.Background(lc, in.Proofs.Run)
 	listen.Background(lc, in.Lag.Run)
+	listen.Background(lc, in.Allowances.Run)
 	listen.Background(lc, func(ctx context.Context) { periodic.Run(ctx, expireInterval, in.Dispatcher.ExpireCrashes) })
 	directory := p.NewDirectory(func(host, zone string) ([]string, time.Duration) {
 		return callerAddresses(f.Serving(host, zone, time.Now())), min(directoryTTL, p.Settings.Get().MaxAnswerTTL)
@@ -255,7 +260,7 @@
 		},
 		IsEnding: state.IsEnding, IsOverloaded: in.Lag.IsOverloaded, Dispatcher: in.Dispatcher,
 		KeyState: in.Proofs.KeyState, CountRefusedKey: in.Metrics.RecordRefusedKey,
-		RecordResult: in.Metrics.RecordRequest, Rates: in.Rates, Log: log,
+		Allowances: in.Allowances, RecordResult: in.Metrics.RecordRequest, Rates: in.Rates, Log: log,
 	})
 	// fx stops hooks in reverse order: the callers' listener must stop first, while the other components still run.
 	lc.Append(newCallerServer(p, state, in.Registrar, handler, endpoint.Announce, in.Memory, log).hook())
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -74,6 +74,12 @@
 // Table returns the routes in force, or nil before the first configuration.
 func (s *State) Table() *route.Table { return s.table.Load() }
 
+// limitsOrganisations reports whether the configuration in force limits any organisation.
+func (s *State) limitsOrganisations() bool {
+	table := s.Table()
+	return table != nil && table.Config.Organisations != nil && table.Config.Organisations.IsAnyLimited()
+}
+
 // startupTime is the time after its start within which a VM normally receives its first configuration. On links of
 // 10 Mbit/s the copies spread over a zone of 28 VMs within 0.5 s.
 const startupTime = time.Second
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -82,5 +82,6 @@
 	CallerConnFailed = Event{1606, zerolog.WarnLevel, "a caller's connection could not be accepted or was closed without its answers"}
 	Overloaded       = Event{1608, zerolog.WarnLevel, "this VM runs late and refuses requests"}
 	HandlerPanicked  = Event{1607, zerolog.ErrorLevel, "the handling of a request panicked"}
+	AllowanceUnknown = Event{1610, zerolog.WarnLevel, "no VM could tell whether a request lies within the allowance of its organisation"}
 	LinesDropped     = Event{1604, zerolog.WarnLevel, "log lines were dropped to keep the volume bounded"}
 )
--- a/internal/membership/serving.go
+++ b/internal/membership/serving.go
@@ -107,6 +107,33 @@
 	return stale
 }
 
+// Largest returns the VMs with the highest capacities, n of each region, starting with the given availability zone and its region. All VMs that
+// see the same fleet choose the same ones.
+func (v *View) Largest(n int, zone string) []Member {
+	candidates := slices.DeleteFunc(slices.Clone(v.alive), func(m Member) bool { return m.IsLeaving })
+	ranked := make([]Member, 0, len(candidates))
+	for _, i := range placement.RankWeighted("", weights(candidates)) {
+		ranked = append(ranked, candidates[i])
+	}
+	slices.SortStableFunc(ranked, func(a, b Member) int { return cmp.Compare(b.Capacity, a.Capacity) })
+	chosen := map[string]int{}
+	ranked = slices.DeleteFunc(ranked, func(m Member) bool {
+		chosen[m.Region]++
+		return chosen[m.Region] > n
+	})
+	distance := func(m Member) int {
+		switch {
+		case m.Zone == zone:
+			return 0
+		case m.Region == v.regions[zone]:
+			return 1
+		}
+		return 2
+	}
+	slices.SortStableFunc(ranked, func(a, b Member) int { return cmp.Compare(distance(a), distance(b)) })
+	return ranked
+}
+
 func totalCapacity(members []Member) float64 {
 	sum := 0.0
 	for _, m := range members {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -82,6 +82,26 @@
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, value))
 }
 
+// RegisterLabelledCounter registers counters that are read from a function, by the values of a label. Their number must be bounded.
+func (m *Metrics) RegisterLabelledCounter(name, help, label string, values func() map[string]int64) {
+	desc := prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, []string{label}, nil)
+	m.registry.MustRegister(labelledCounter{desc, values})
+}
+
+// labelledCounter implements prometheus.Collector.
+type labelledCounter struct {
+	desc   *prometheus.Desc
+	values func() map[string]int64
+}
+
+func (c labelledCounter) Describe(out chan<- *prometheus.Desc) { out <- c.desc }
+
+func (c labelledCounter) Collect(out chan<- prometheus.Metric) {
+	for label, value := range c.values() {
+		out <- prometheus.MustNewConstMetric(c.desc, prometheus.CounterValue, float64(value), label)
+	}
+}
+
 // RecordRequest records the result of a request and the time from its arrival to its end.
 func (m *Metrics) RecordRequest(service string, r dispatch.Result, took time.Duration) {
 	outcome := r.Outcome.String()
--- a/internal/organisation/organisation.go
+++ b/internal/organisation/organisation.go
@@ -70,6 +70,8 @@
 	all    []Organisation
 	byKey  map[Digest]int32
 	byName map[string]int32
+	// isAnyLimited is set if any organisation has an allowance.
+	isAnyLimited bool
 }
 
 // NewDirectory returns the directory of the given organisations. Its error names the first invalid one.
@@ -84,6 +86,7 @@
 			return nil, fmt.Errorf("organisation %q exists twice", o.Name)
 		}
 		d.byName[o.Name] = int32(i)
+		d.isAnyLimited = d.isAnyLimited || o.IsLimited()
 		for _, key := range o.Keys {
 			if owner, exists := d.byKey[key]; exists {
 				return nil, fmt.Errorf("organisations %q and %q have the same key %v", all[owner].Name, o.Name, key)
@@ -115,3 +118,6 @@
 
 // Len returns the number of organisations.
 func (d *Directory) Len() int { return len(d.all) }
+
+// IsAnyLimited reports whether any organisation has an allowance.
+func (d *Directory) IsAnyLimited() bool { return d.isAnyLimited }
--- a/internal/vmpeer/endpoint.go
+++ b/internal/vmpeer/endpoint.go
@@ -78,6 +78,8 @@
 	// self returns the current state of this VM.
 	self func() membership.Member
 	log  zerolog.Logger
+	// allowances receives the datagrams on allowances, if it is set.
+	allowances Allowances
 	// announcedAsReader is set if the last heartbeat to the zone relays announced this VM as a store reader.
 	announcedAsReader atomic.Bool
 	// announced is the state of this VM in the last heartbeat to all VMs of the zone.
@@ -143,6 +145,9 @@
 
 // handle decodes a datagram and passes it on to the Fleet or the Receiver.
 func (ep *Endpoint) handle(datagram []byte, from *net.UDPAddr, to Receiver) error {
+	if isHandled, err := ep.handleAllowance(datagram, from); isHandled {
+		return err
+	}
 	body := datagram[1:]
 	switch datagramKind(datagram[0]) {
 	case kindHeartbeat:
