Allowances: requests wait while the fleet starts, and nobody to ask is no 429

Cause: Take refused as soon as its questions were unanswered, and remembered that as a refusal for 200 ms.

Change: a request in the first 1.5 s of a VM waits for a verdict, as it does for the configuration. Later it gets 503 with the reason; the next 200 ms ask nobody. ingress.Allowances returns a verdict of three.

Ruled out: accepting blindly after a start (each VM that the power returns to would).

--- a/internal/allowance/lease.go
+++ b/internal/allowance/lease.go
@@ -30,6 +30,8 @@
 	tokens       int
 	expiresAt    time.Time
 	refusedUntil time.Time
+	// unansweredUntil is until when no counter is asked, since none has answered.
+	unansweredUntil time.Time
 	// asked is the number of the question that is open, 0 for none. It was sent to a counter at askedAt.
 	asked   uint32
 	askedOf string
@@ -92,7 +94,7 @@
 	defer s.mu.Unlock()
 	id := IDOf(o.Name)
 	l := s.byID[id]
-	if l == nil || len(counters) == 0 {
+	if l == nil || len(counters) == 0 || now.Before(l.unansweredUntil) {
 		return "", Question{}, nil, false
 	}
 	if l.asked != 0 && now.Sub(l.askedAt) < answerTimeout {
@@ -155,14 +157,13 @@
 	close(l.answered)
 }
 
-// refuse refuses requests for a short time after no counter has answered.
-func (s *leases) refuse(now time.Time, id ID) time.Duration {
+// noteUnanswered keeps further requests from asking for a short time after no counter has answered.
+func (s *leases) noteUnanswered(now time.Time, id ID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if l := s.byID[id]; l != nil {
-		l.refusedUntil = now.Add(unreachableRetry)
+		l.unansweredUntil = now.Add(unreachableRetry)
 	}
-	return unreachableRetry
 }
 
 // giveBack returns a granted request.
--- a/internal/allowance/service.go
+++ b/internal/allowance/service.go
@@ -38,13 +38,17 @@
 	ledger  *Ledger
 	urgent  chan struct{}
 	refused refusals
+	// startedAt is the start of this VM.
+	startedAt time.Time
 
 	unconfirmed atomic.Int64
 }
 
 // NewService returns a Service that accepts requests once Run has been called.
 func NewService(o Options) *Service {
-	return &Service{Options: o, ledger: NewLedger(o.Limits, o.Incarnation), urgent: make(chan struct{}, 1)}
+	return &Service{
+		Options: o, ledger: NewLedger(o.Limits, o.Incarnation), urgent: make(chan struct{}, 1), startedAt: time.Now(),
+	}
 }
 
 // minReportInterval limits how often urgent reports are sent.
@@ -91,34 +95,50 @@
 	}
 }
 
+const (
+	// startTime is how long after the start of this VM requests wait for a verdict: VMs that start together first find out that none of
+	// them knows any requests.
+	startTime = 1500 * time.Millisecond
+	// startRetryInterval is the interval between two tries meanwhile.
+	startRetryInterval = 50 * time.Millisecond
+)
+
 // Take implements ingress.Allowances. A VM that does not count waits for the answer of one that does.
-func (s *Service) Take(o *organisation.Organisation, now time.Time) (retryAfter time.Duration, ok bool) {
-	for range maxQuestions {
-		d := s.ledger.Take(now, o)
-		if d.IsUrgent {
-			s.push()
-		}
+func (s *Service) Take(o *organisation.Organisation, now time.Time) (v organisation.Verdict, retryAfter time.Duration) {
+	for {
+		d := s.decide(o, now)
 		switch d.Outcome {
 		case Accepted:
-			return 0, true
+			return organisation.Within, 0
 		case Refused:
 			s.refused.count(o.Name)
-			return d.RetryAfter, false
+			return organisation.Exceeded, d.RetryAfter
 		}
-		if !s.ask(now, o) {
+		if time.Since(s.startedAt) >= startTime {
 			break
 		}
+		time.Sleep(startRetryInterval)
 		now = time.Now()
 	}
-	if d := s.ledger.Take(now, o); d.Outcome == Accepted {
-		return 0, true
-	} else if d.Outcome == Refused {
-		s.refused.count(o.Name)
-		return d.RetryAfter, false
-	}
 	s.unconfirmed.Add(1)
 	logevent.AllowanceUnknown.Log(s.Log).Str("organisation", o.Name).Send()
-	return s.ledger.leases.refuse(now, IDOf(o.Name)), false
+	s.ledger.leases.noteUnanswered(now, IDOf(o.Name))
+	return organisation.Unconfirmed, unreachableRetry
+}
+
+// decide decides on a request, after questions to other VMs if need be. The outcome is MustAsk if none has answered.
+func (s *Service) decide(o *organisation.Organisation, now time.Time) Decision {
+	for range maxQuestions {
+		d := s.ledger.Take(now, o)
+		if d.IsUrgent {
+			s.push()
+		}
+		if d.Outcome != MustAsk || !s.ask(now, o) {
+			return d
+		}
+		now = time.Now()
+	}
+	return s.ledger.Take(now, o)
 }
 
 // ask asks another VM and waits for the answer. It returns false if there is none to ask.
--- a/internal/ingress/identify.go
+++ b/internal/ingress/identify.go
@@ -12,9 +12,9 @@
 
 // Allowances limit the requests of each organisation over the whole fleet.
 type Allowances interface {
-	// Take takes a request from the allowance of an organisation. If nothing is left, ok is false and retryAfter is when a
-	// request can be accepted again.
-	Take(o *organisation.Organisation, now time.Time) (retryAfter time.Duration, ok bool)
+	// Take takes a request from the allowance of an organisation. Unless the verdict is organisation.Within, retryAfter is when a
+	// request can be accepted.
+	Take(o *organisation.Organisation, now time.Time) (v organisation.Verdict, retryAfter time.Duration)
 	// GiveBack returns a request that no backend server has run to the allowance of the organisation with the name.
 	GiveBack(name string, now time.Time)
 }
@@ -118,8 +118,11 @@
 	if o == nil || !o.IsLimited() {
 		return refusal{}
 	}
-	if retryAfter, ok := h.Allowances.Take(o, now); !ok {
+	switch v, retryAfter := h.Allowances.Take(o, now); v {
+	case organisation.Exceeded:
 		return refusal{http.StatusTooManyRequests, "the allowance of the organisation is used up", retryAfter}
+	case organisation.Unconfirmed:
+		return refusal{http.StatusServiceUnavailable, "no VM confirms that the request lies within the allowance", retryAfter}
 	}
 	return refusal{}
 }
@@ -134,5 +137,7 @@
 // unlimited are the Allowances of a fleet that limits no organisation.
 type unlimited struct{}
 
-func (unlimited) Take(*organisation.Organisation, time.Time) (time.Duration, bool) { return 0, true }
-func (unlimited) GiveBack(string, time.Time)                                       {}
+func (unlimited) Take(*organisation.Organisation, time.Time) (organisation.Verdict, time.Duration) {
+	return organisation.Within, 0
+}
+func (unlimited) GiveBack(string, time.Time) {}
--- a/internal/ingress/identify_test.go
+++ b/internal/ingress/identify_test.go
@@ -37,9 +37,12 @@
 // countedAllowance accepts a number of requests.
 type countedAllowance struct{ left, given int }
 
-func (a *countedAllowance) Take(*organisation.Organisation, time.Time) (time.Duration, bool) {
+func (a *countedAllowance) Take(*organisation.Organisation, time.Time) (organisation.Verdict, time.Duration) {
 	a.left--
-	return 700 * time.Millisecond, a.left >= 0
+	if a.left < 0 {
+		return organisation.Exceeded, 700 * time.Millisecond
+	}
+	return organisation.Within, 0
 }
 
 func (a *countedAllowance) GiveBack(string, time.Time) { a.given++ }
@@ -164,3 +167,21 @@
 	handler.ServeHTTP(httptest.NewRecorder(), handler.Prepare(request))
 	c.Check(d.received, qt.HasLen, 1)
 }
+
+// unreachableAllowance can ask no VM.
+type unreachableAllowance struct{ countedAllowance }
+
+func (unreachableAllowance) Take(*organisation.Organisation, time.Time) (organisation.Verdict, time.Duration) {
+	return organisation.Unconfirmed, 200 * time.Millisecond
+}
+
+// TestUnconfirmedAllowanceIsNotCalledUsedUp checks that a request is told the truth if no VM knows what its organisation has used.
+func TestUnconfirmedAllowanceIsNotCalledUsedUp(t *testing.T) {
+	c := qt.New(t)
+	d := &scriptedDispatcher{do: refusing}
+	address := serveKeyed(t, d, func(o *ingress.Options) { o.Allowances = &unreachableAllowance{} })
+	response, _ := exchange(t, address, get+"Authorization: Bearer k1\r\n\r\n")
+	c.Check(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(response.Header.Get("Retry-After"), qt.Equals, "0.200")
+	c.Check(d.received, qt.HasLen, 0)
+}
--- a/internal/organisation/organisation.go
+++ b/internal/organisation/organisation.go
@@ -121,3 +121,16 @@
 
 // IsAnyLimited reports whether any organisation has an allowance.
 func (d *Directory) IsAnyLimited() bool { return d.isAnyLimited }
+
+// Verdict says whether a request lies within the allowance of its organisation.
+type Verdict int
+
+// Verdicts.
+const (
+	// Within means that the request has been taken from the allowance.
+	Within Verdict = iota
+	// Exceeded means that nothing of the allowance is left.
+	Exceeded
+	// Unconfirmed means that no VM that knows the requests of the fleet could be asked.
+	Unconfirmed
+)
