--- a/internal/organisation/organisation_test.go
+++ b/internal/organisation/organisation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -48,10 +49,14 @@
 	}
 }
 
-// BenchmarkFindByKey shows that a look-up takes the same time in directories of any size.
+// BenchmarkFindByKey shows what a look-up takes in directories of different size, and how much memory an organisation with one key
+// takes.
 func BenchmarkFindByKey(b *testing.B) {
 	for _, size := range []int{72, 10_000, 1_200_000} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
 			all := make([]organisation.Organisation, 0, size)
 			for i := range size {
 				all = append(all, named(fmt.Sprint("o", i), fmt.Sprint("key", i)))
@@ -60,11 +65,14 @@
 			if err != nil {
 				b.Fatal(err)
 			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
 			for i := 0; b.Loop(); i++ {
 				if d.FindByKey(fmt.Sprint("key", i%size)) == nil {
 					b.Fatal("not found")
 				}
 			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(size), "B/organisation")
 		})
 	}
 }
