child: a frozen process has stopped before the test goes on

Cause: SIGSTOP takes effect when the threads of the process are next scheduled, and the step did not wait for that. The product has no part in it.

Change: Freeze waits until /proc shows all threads as stopped, for 5 s at most; scenarios use it.

Ruled out: a pause after the signal, which is too short at some load.

--- a/internal/child/child.go
+++ b/internal/child/child.go
@@ -3,6 +3,7 @@
 package child
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"os/exec"
@@ -97,6 +98,40 @@
 	return command.Process.Signal(s)
 }
 
+// freezeTimeout limits the wait for a process to stop. Its threads stop when they are next scheduled.
+const freezeTimeout = 5 * time.Second
+
+// Freeze suspends the process, which has no chance to react, and returns once all of its threads have stopped.
+func (p *Process) Freeze() error {
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	command, _ := p.current()
+	for deadline := time.Now().Add(freezeTimeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if isStopped(command.Process.Pid) {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s has not stopped within %v", p.Name, freezeTimeout)
+}
+
+// isStopped reports whether all threads of a process have stopped. Their state follows their name, which ends with a parenthesis.
+func isStopped(pid int) bool {
+	stats, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(stats) == 0 {
+		return false
+	}
+	for _, path := range stats {
+		stat, err := os.ReadFile(path)
+		_, state, _ := bytes.Cut(stat, []byte(") "))
+		// A thread that has ended meanwhile cannot be read.
+		if err == nil && !bytes.HasPrefix(state, []byte("T")) {
+			return false
+		}
+	}
+	return true
+}
+
 // Kill sends SIGKILL and waits until the process has exited.
 func (p *Process) Kill() error {
 	if err := p.Signal(syscall.SIGKILL); err != nil {
--- a/internal/scenario/process.go
+++ b/internal/scenario/process.go
@@ -65,8 +65,8 @@
 
 func logPath(dir, name string) string { return filepath.Join(dir, processFileName(name)+".log") }
 
-// freeze suspends the process. SIGSTOP gives it no chance to react.
-func (p *process) freeze() error { return p.Signal(syscall.SIGSTOP) }
+// freeze suspends the process and returns once it has stopped.
+func (p *process) freeze() error { return p.Freeze() }
 
 // thaw resumes a frozen process.
 func (p *process) thaw() error { return p.Signal(syscall.SIGCONT) }
