gateway: comments that had to be read twice

Cause: a newcomer's reading. Change: what the memory limit of the runtime does, and how many VMs count in many regions.

--- a/internal/gateway/allowances.go
+++ b/internal/gateway/allowances.go
@@ -13,10 +13,10 @@
 )
 
 const (
-	// maxCounters is how many VMs count the requests of organisations, if there are fewer regions than half of that. Each of them reports to
-	// all others.
+	// maxCounters is how many VMs count the requests of organisations, divided evenly among the regions. Each of them reports to all
+	// others.
 	maxCounters = 8
-	// minRegionCounters is how many of them each region has at least.
+	// minRegionCounters is how many of them each region has at least, also if there are then more than maxCounters.
 	minRegionCounters = 2
 	// defaultQuotaWindow applies where the settings name no Settings.QuotaWindow.
 	defaultQuotaWindow = 5 * time.Second
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -92,7 +92,7 @@
 	// heldShare is the share of a VM's memory that is held for callers and backend servers at most. The rest is for the copies of the
 	// store, the connections, and what the garbage collector has not freed yet.
 	heldShare = 0.45
-	// collectShare is the share of a VM's memory from which the garbage collector runs without a pause.
+	// collectShare is the share of a VM's memory that the process stays below by collecting garbage as often as that takes.
 	collectShare = 0.85
 	// defaultHeldBytes is what is held at most on a VM without a limit of its memory.
 	defaultHeldBytes = 64 << 20
