--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -20,7 +20,7 @@
 	gatewayPath := flag.String("gateway", "target/primrose-gateway", "path of the primrose-gateway program")
 	recordPath := flag.String("record", "record.txt", "file that is written with what was sent, answered and run")
 	flag.Parse()
-	run, known := map[string]func(*rig) (bool, error){"slow-upload": slowUpload}[*name]
+	run, known := map[string]func(*rig) (bool, error){"slow-upload": slowUpload, "tightened-revoke": tightenedRevoke, "stray-answers": strayAnswers}[*name]
 	if !known {
 		fmt.Fprintf(os.Stderr, "unknown case %q\n", *name)
 		os.Exit(exitNoRun)
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -101,6 +101,7 @@
 type gate struct {
 	rig          *rig
 	name, ip     string
+	settings     map[string]any
 	settingsPath string
 	storeServer  *http.Server
 	storeClient  *kvtest.Client
@@ -135,19 +136,28 @@
 			"ValueBytes": 1048576, "TtlMin": "1000ms",
 		},
 	}
+	g.settings, g.settingsPath = settings, filepath.Join(r.dir, g.name+".json")
+	if err := g.writeSettings(change); err != nil {
+		return nil, err
+	}
+	r.gates = append(r.gates, g)
+	return g, g.start()
+}
+
+// writeSettings writes the settings file, after a change of the settings if there is one.
+func (g *gate) writeSettings(change func(settings map[string]any)) error {
 	if change != nil {
-		change(settings)
+		change(g.settings)
 	}
-	text, err := json.Marshal(settings)
+	text, err := json.Marshal(g.settings)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	g.settingsPath = filepath.Join(r.dir, g.name+".json")
-	if err := os.WriteFile(g.settingsPath, text, 0o600); err != nil {
-		return nil, err
+	next := g.settingsPath + ".next"
+	if err := os.WriteFile(next, text, 0o600); err != nil {
+		return err
 	}
-	r.gates = append(r.gates, g)
-	return g, g.start()
+	return os.Rename(next, g.settingsPath)
 }
 
 // start starts the process and waits until it is ready.
@@ -209,8 +219,14 @@
 
 const hostName = "hulo84.example"
 
-// putConfig writes a configuration as the operator does.
-func (r *rig) putConfig(version int, routes []routeRow, services ...string) error {
+// tenantRow is a tenant of the configuration.
+type tenantRow struct {
+	name string
+	keys []string
+}
+
+// putConfig writes a configuration as the operator does. Without tenants, requests need no keys.
+func (r *rig) putConfig(version int, routes []routeRow, tenants []tenantRow, services ...string) error {
 	columns := []string{"Name", "Host", "Prefix", "RouteType", "Timeout", "TargetLatency", "Priority", "TrafficSplit", "MaxAttempts", "Service"}
 	var rows, serviceRows [][]any
 	for _, x := range routes {
@@ -219,14 +235,22 @@
 	for _, s := range services {
 		serviceRows = append(serviceRows, []any{s, "/health", 360, "h1", false})
 	}
-	text, err := json.Marshal(map[string]any{
+	config := map[string]any{
 		"Version": version,
 		"Routes":  map[string]any{"Columns": columns, "Rows": rows},
 		"Services": map[string]any{
 			"Columns": []string{"Name", "HealthPath", "MaxConnections", "Protocol", "Tls"}, "Rows": serviceRows,
 		},
 		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 67108864, "HeaderTimeout": "3000ms", "IdleTimeout": "15000ms"},
-	})
+	}
+	if len(tenants) > 0 {
+		var tenantRows [][]any
+		for _, t := range tenants {
+			tenantRows = append(tenantRows, []any{t.name, t.keys})
+		}
+		config["Tenants"] = map[string]any{"Columns": []string{"Name", "ApiKeys"}, "Rows": tenantRows}
+	}
+	text, err := json.Marshal(config)
 	if err != nil {
 		return err
 	}
--- a/review/rig2/slowupload.go
+++ b/review/rig2/slowupload.go
@@ -38,7 +38,7 @@
 
 // slowUpload sends uploads to a machine that is about to be stopped, and whose backends read slowly.
 func slowUpload(r *rig) (bool, error) {
-	err := r.putConfig(1, []routeRow{{"r-1", prefix, "upload", uploads, "10000ms"}}, uploads)
+	err := r.putConfig(1, []routeRow{{"r-1", prefix, "upload", uploads, "10000ms"}}, nil, uploads)
 	if err != nil {
 		return false, err
 	}
