--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -6,9 +6,11 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
-// errHeld and errBroken are the exit codes of a case: the rule held, or it was broken. Any other end means that the case could not run.
+// The exit codes of a case.
 const (
 	exitHeld   = 0
 	exitBroken = 1
@@ -30,6 +32,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNoRun)
 	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop
+		r.close()
+		os.Exit(exitNoRun)
+	}()
 	isBroken, err := run(r)
 	r.close()
 	switch {
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -27,6 +27,7 @@
 	block       int
 	blockHolder net.Listener
 
+	closed  sync.Once
 	mu      sync.Mutex
 	record  *os.File
 	gates   []*gate
@@ -85,7 +86,9 @@
 }
 
 // close ends all processes and stand-ins.
-func (r *rig) close() {
+func (r *rig) close() { r.closed.Do(r.end) }
+
+func (r *rig) end() {
 	for _, g := range r.gates {
 		g.kill()
 	}
