--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 )
 
@@ -17,6 +18,9 @@
 	exitNoRun  = 2
 )
 
+// The processes are started from the first thread of this one, which lives until it ends. They end with it, however it ends.
+func init() { runtime.LockOSThread() }
+
 func main() {
 	name := flag.String("case", "", "case to run")
 	gatewayPath := flag.String("gateway", "target/primrose-gateway", "path of the primrose-gateway program")
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -174,6 +174,7 @@
 	g.command.Dir = g.rig.dir
 	g.command.Env = append(os.Environ(), "PRIMROSELADDER_SETTINGS="+g.settingsPath)
 	g.command.Stdout, g.command.Stderr = log, log
+	g.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := g.command.Start(); err != nil {
 		return err
 	}
