Log when a request was read, its backend server chosen and the request written

A request of the incident reached a backend server 3.07 s after its leaving was acknowledged and 0.68 s after its caller's deadline. The lines 1601 to 1603 could not tell whether the VM read it late, chose the server by an old list, or wrote it long after the choice. They carry now read, chosen_ms with the store revision of the server's entry, written_ms and how late the process ran. Event 1611 names each request that is written more than 250 ms after the choice or after its deadline.

backend.Request.BeforeWrite is called right before the first byte is written.

No decision changes.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -40,6 +40,9 @@
 	Body   []byte
 	// MaxAnswerBytes is the maximum size of the answer's body.
 	MaxAnswerBytes int64
+	// BeforeWrite, if set, is called right before the first byte is written, with a connection at hand. If it returns an error,
+	// nothing is written and the attempt fails with it.
+	BeforeWrite func() error
 }
 
 // Answer is a whole answer of a backend server.
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -99,6 +99,12 @@
 		p.release(c, c.isReused)
 		return nil, &AttemptError{MayHaveStarted: false, Err: peererr.Wrap(err, "connect", p.address)}
 	}
+	if r.BeforeWrite != nil {
+		if err := r.BeforeWrite(); err != nil {
+			p.release(c, c.isReused)
+			return nil, &AttemptError{MayHaveStarted: false, Err: peererr.Wrap(err, "send", p.address)}
+		}
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = c.SetDeadline(deadline)
 	}
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -130,9 +130,18 @@
 
 // attempt sends the request to the reserved backend server.
 func (a *attemptLoop) attempt(ctx context.Context, res *reservation, f poison.Fingerprint) nextStep {
-	answer, err := res.pool.Do(ctx, a.outboundRequest(res.id))
+	timing := Timing{ChosenAt: time.Now(), EntryRevision: res.entryRevision, Lag: a.dispatcher.options.Lag()}
+	outbound := a.outboundRequest(res.id)
+	outbound.BeforeWrite = func() error {
+		timing.WrittenAt, timing.Lag = time.Now(), a.dispatcher.options.Lag()
+		a.logIfLate(res, &timing)
+		return nil
+	}
+	answer, err := res.pool.Do(ctx, outbound)
 	a.hasCrashed = false
-	a.lastResult = Result{Server: res.id, UnhealthyProbability: res.unhealthyProbability, IsTrial: res.isTrial, ExpectedWait: res.expectedWait}
+	a.lastResult = Result{
+		Server: res.id, UnhealthyProbability: res.unhealthyProbability, IsTrial: res.isTrial, ExpectedWait: res.expectedWait, Timing: timing,
+	}
 	if err != nil {
 		return a.afterError(ctx, res, f, err)
 	}
@@ -165,6 +174,21 @@
 	return stepFinish
 }
 
+// lateWrite is how long after the choice of its backend server the writing of a request is logged as late.
+const lateWrite = 250 * time.Millisecond
+
+// logIfLate logs a request that is written after its deadline, or long after its backend server was chosen.
+func (a *attemptLoop) logIfLate(res *reservation, t *Timing) {
+	r := a.request
+	if t.WrittenAt.Sub(t.ChosenAt) < lateWrite && t.WrittenAt.Before(a.deadline) {
+		return
+	}
+	logevent.WrittenLate.Log(a.dispatcher.options.Log).Str("request", r.ID).Str("service", r.Service).Str("server", res.id).
+		Uint64("config", r.ConfigVersion).Uint64("entry_revision", t.EntryRevision).Time("read", r.Arrival).
+		Dur("chosen_ms", t.ChosenAt.Sub(r.Arrival)).Dur("written_ms", t.WrittenAt.Sub(r.Arrival)).
+		Dur("left_ms", a.deadline.Sub(t.WrittenAt)).Dur("lag_ms", t.Lag).Send()
+}
+
 // isRefusal reports whether a backend server says that it has not run the request.
 func isRefusal(answer *backend.Answer, p *Protocol) bool {
 	return answer.Status == http.StatusMisdirectedRequest || answer.Header.Get(p.NotExecuted) != ""
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -84,6 +84,20 @@
 	// IsTrial is set if the last attempt went to an idle backend server to keep it in service, not because of its cost.
 	IsTrial  bool
 	Attempts int
+	// Timing is when the last attempt was decided on and written.
+	Timing Timing
+}
+
+// Timing is when an attempt was decided on and written, and by what. It explains a request that is sent late.
+type Timing struct {
+	// ChosenAt is when the backend server was chosen, zero if none was.
+	ChosenAt time.Time
+	// EntryRevision is the store revision of the entry of the backend server by which it was chosen.
+	EntryRevision uint64
+	// WrittenAt is when the request was written, zero if it was not.
+	WrittenAt time.Time
+	// Lag is how late the process ran at the last of these.
+	Lag time.Duration
 }
 
 // Evidence is what a VM sends to its peers whenever one of its requests starts or ends at a backend server.
@@ -168,7 +182,9 @@
 	RegionRetryAllowance func(service string) float64
 	// RecordRetry is called with each request that asks for a retry. isSent is set if it gets one.
 	RecordRetry func(service string, priority int, isSent bool)
-	Log         zerolog.Logger
+	// Lag returns how late the process runs, for the log.
+	Lag func() time.Duration
+	Log zerolog.Logger
 }
 
 // Dispatcher sends requests to backend servers.
@@ -200,6 +216,9 @@
 	if o.RecordRetry == nil {
 		o.RecordRetry = func(string, int, bool) {}
 	}
+	if o.Lag == nil {
+		o.Lag = func() time.Duration { return 0 }
+	}
 	if o.Connect == nil {
 		o.Connect = o.connectTCP()
 	}
--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -23,6 +23,8 @@
 	number  uint16
 	class   workload.Class
 	started time.Time
+	// entryRevision is that of the entry by which the backend server was picked.
+	entryRevision uint64
 	// isTrial is set if the backend server was picked to keep it in service.
 	isTrial bool
 	// expectedWait is how long the request was expected to wait for a slot.
@@ -43,7 +45,7 @@
 	})
 	return &reservation{
 		service: s, server: chosen, id: chosen.ID, pool: chosen.pool, number: s.nextNumber, class: class, started: now,
-		said:    Statement{Incarnation: chosen.Incarnation},
+		said: Statement{Incarnation: chosen.Incarnation}, entryRevision: chosen.Revision,
 		isTrial: c.isTrial, expectedWait: c.wait, unhealthyProbability: chosen.estimate.UnhealthyProbability(now),
 	}
 }
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -128,7 +128,7 @@
 
 func newDispatcher(
 	p *Platform, endpoint *vmpeer.Endpoint, g *Groups, m *metrics.Metrics, crashes *poison.Registry,
-	memory *membudget.Budget, log zerolog.Logger,
+	memory *membudget.Budget, lateness *lag.Monitor, log zerolog.Logger,
 ) *dispatch.Dispatcher {
 	s, h := p.Settings.Get(), p.Headers
 	return dispatch.New(dispatch.Options{
@@ -147,7 +147,7 @@
 		ShareCrash: endpoint.SendCrash,
 		Serves:     g.Serves, AskHealth: endpoint.AskHealth,
 		RetryRatio: s.RetryRatio, RetryWindow: s.RetryWindow, RetryAllowance: g.RetryAllowance,
-		RegionRetryAllowance: g.RegionRetryAllowance, RecordRetry: m.RecordRetry, Log: log,
+		RegionRetryAllowance: g.RegionRetryAllowance, RecordRetry: m.RecordRetry, Lag: lateness.Lag, Log: log,
 	})
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -214,10 +214,10 @@
 	took := time.Since(r.Arrival)
 	h.RecordResult(r.Service, result, took)
 	line := func(e logevent.Event) *zerolog.Event {
-		return e.Log(h.Log).Str("request", r.ID).Str("route", r.Target.Name).Str("service", r.Service).
+		return addTiming(e.Log(h.Log), r, &result.Timing).Str("request", r.ID).Str("route", r.Target.Name).Str("service", r.Service).
 			Uint64("config", r.ConfigVersion).Str("organisation", r.Organisation).Str("server", result.Server).Float64("sick", result.UnhealthyProbability).
 			Bool("trial", result.IsTrial).Dur("wait_ms", result.ExpectedWait).Int("attempts", result.Attempts).Dur("took_ms", took).Int("body_bytes", len(r.Body)).
-			Uint32("body_crc32", crc32.ChecksumIEEE(r.Body))
+			Uint32("body_crc32", crc32.ChecksumIEEE(r.Body)).Time("read", r.Arrival).Dur("lag_ms", result.Timing.Lag)
 	}
 	switch result.Outcome {
 	case dispatch.Answered:
@@ -236,6 +236,17 @@
 	}
 }
 
+// addTiming adds when the backend server of the last attempt was chosen and when the request was written, since it was read.
+func addTiming(e *zerolog.Event, r *dispatch.Request, t *dispatch.Timing) *zerolog.Event {
+	if !t.ChosenAt.IsZero() {
+		e = e.Dur("chosen_ms", t.ChosenAt.Sub(r.Arrival)).Uint64("entry_revision", t.EntryRevision)
+	}
+	if !t.WrittenAt.IsZero() {
+		e = e.Dur("written_ms", t.WrittenAt.Sub(r.Arrival))
+	}
+	return e
+}
+
 // writeAnswer returns the answer of a backend server to the caller, unchanged except for hop-by-hop headers.
 func (h *Handler) writeAnswer(w http.ResponseWriter, r *dispatch.Request, answer *backend.Answer) {
 	out := w.Header()
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -82,6 +82,7 @@
 	CallerConnFailed = Event{1606, zerolog.WarnLevel, "a caller's connection could not be accepted or was closed without its answers"}
 	Overloaded       = Event{1608, zerolog.WarnLevel, "this VM runs late and refuses requests"}
 	HandlerPanicked  = Event{1607, zerolog.ErrorLevel, "the handling of a request panicked"}
+	WrittenLate      = Event{1611, zerolog.WarnLevel, "request is sent long after its backend server was chosen, or after its deadline"}
 	AllowanceUnknown = Event{1610, zerolog.WarnLevel, "no VM could tell whether a request lies within the allowance of its organisation"}
 	LinesDropped     = Event{1604, zerolog.WarnLevel, "log lines were dropped to keep the volume bounded"}
 )
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -19,6 +19,8 @@
 	// Incarnation is the start time of the backend server in Unix milliseconds. A backend server with the same ID and a
 	// higher incarnation has no memory of the previous incarnation.
 	Incarnation int64
+	// Revision is the revision of the store in which the entry was written.
+	Revision uint64
 	// WarmupRemaining is how long the backend server still stays slow after its start, counted from when the entry was read.
 	WarmupRemaining time.Duration
 }
