dispatch: news does not wait for the lock of a service behind its requests

Callers saw: requests that reached a backend server 3.07 s after its leaving was acknowledged (DRAIN), and a configuration that was not in force in time (CONFIG), from VMs short of processor time.

Cause: requests wait for the lock of their service until their backend server is chosen, in the order in which they came. On a VM that gets more than it can carry, hundreds wait for seconds. A new list of backend servers waited for the same lock, behind them, and all that were before it were sent by the old list. The goroutine that brought it is the one that follows the store and the neighbours: while it waited, no other news was fetched, also no configuration, and the position of the copy could not be read for heartbeats. Evidence, which waited too, held up the datagrams behind it, news of leaving among them.

Change: who brings news leaves it in a place of its own, whose lock is never held while anything is chosen, and goes on. The next holder of the service's lock applies it before anything else. Questions for the health of servers are answered with nothing if the service is busy, as by a VM that knows nothing.

Ruled out: a lock that lets writers pass (sync.RWMutex): choices write too. A queue with priorities for the requests: they would still be chosen one at a time, and news waits for the one that runs only.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -85,6 +85,7 @@
 	isNews = s.adoptLimit(id, known, said, sent, now)
 	if said.IsLeaving && !known.isLeaving {
 		known.isLeaving, isNews = true, true
+		s.news.setLeaving(i)
 		logevent.BackendLeaving.Log(s.options.Log).Str("service", s.name).Str("server", id).Send()
 	}
 	return isNews
@@ -126,7 +127,11 @@
 func (s *service) expireAdvice(now time.Time) {
 	maps.DeleteFunc(s.advice, func(i incarnation, a *advice) bool {
 		listed := s.servers[i.id]
-		return (listed == nil || listed.advice != a) && now.Sub(a.heardAt) > adviceLifetime
+		isOld := (listed == nil || listed.advice != a) && now.Sub(a.heardAt) > adviceLifetime
+		if isOld {
+			s.news.forgetLeaving(i)
+		}
+		return isOld
 	})
 }
 
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -321,7 +321,7 @@
 // notRunRetryAfter returns the Retry-After of a request that no backend server has run: half the mean duration of the
 // service's requests.
 func (s *service) notRunRetryAfter() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.lock()
+	defer s.unlock()
 	return s.work.All().Durations.Mean() / 2
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -259,10 +259,12 @@
 	return d.services[name]
 }
 
-// ReceiveEvidence applies the evidence of a peer in this region.
+// ReceiveEvidence applies the evidence of a peer in this region. Like Update and the other methods that receive something, it does
+// not wait for requests that wait for their choice.
 func (d *Dispatcher) ReceiveEvidence(peer string, e Evidence) {
 	if s := d.service(e.Service); s != nil {
-		s.receiveEvidence(peer, e, time.Now())
+		s.news.addReport(report{evidence: &e, peer: peer, at: time.Now()})
+		s.applyPending()
 	}
 }
 
@@ -271,7 +273,8 @@
 // regions does not grow with the requests.
 func (d *Dispatcher) ReceiveHealthTransition(e Evidence) {
 	if s := d.service(e.Service); s != nil {
-		s.receiveHealthTransition(e, time.Now())
+		s.news.addReport(report{evidence: &e, at: time.Now()})
+		s.applyPending()
 	}
 }
 
--- a/internal/dispatch/leaving.go
+++ b/internal/dispatch/leaving.go
@@ -23,14 +23,10 @@
 }
 
 func (s *service) leaving() (out []Evidence) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for id, srv := range s.servers {
-		if srv.advice.isLeaving {
-			out = append(out, Evidence{
-				Service: s.name, Server: id, Statement: Statement{Incarnation: srv.Incarnation, IsLeaving: true},
-			})
-		}
+	for _, i := range s.news.listedLeaving() {
+		out = append(out, Evidence{
+			Service: s.name, Server: i.id, Statement: Statement{Incarnation: i.startedAt, IsLeaving: true},
+		})
 	}
 	return out
 }
--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -56,8 +56,8 @@
 // complete ends the request with an outcome. bytes is the size of request and answer, 0 if it should not be counted.
 func (r *reservation) complete(outcome evidence.Outcome, bytes int) {
 	s, now := r.service, time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.lock()
+	defer s.unlock()
 	took := now.Sub(r.started)
 	waited := r.removeFromQueue(now)
 	r.server.observePath(outcome, now)
@@ -92,16 +92,16 @@
 // completeFailed ends the request with a failure. Its duration determines the kind of failure.
 func (r *reservation) completeFailed() {
 	now := time.Now()
-	r.service.mu.Lock()
+	r.service.lock()
 	outcome := r.service.work.Of(r.class).Usual.Classify(evidence.Failure, now.Sub(r.started), r.server.slowdown(now))
-	r.service.mu.Unlock()
+	r.service.unlock()
 	r.complete(outcome, 0)
 }
 
 // release ends the request without an outcome, when its end says nothing about the backend server.
 func (r *reservation) release() {
-	r.service.mu.Lock()
-	defer r.service.mu.Unlock()
+	r.service.lock()
+	defer r.service.unlock()
 	r.removeFromQueue(time.Now())
 	r.service.options.ShareEvidence(Evidence{
 		Service: r.service.name, Server: r.server.ID, Open: r.server.queue.Own(), Work: Work{r.class, r.number},
@@ -171,10 +171,8 @@
 	}
 }
 
-// receiveEvidence applies the evidence of a peer.
-func (s *service) receiveEvidence(peer string, e Evidence, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// applyEvidence applies the evidence of a peer. The caller must hold the service's lock.
+func (s *service) applyEvidence(peer string, e Evidence, now time.Time) {
 	s.countPeerRequest(peer, e, now)
 	s.adopt(e.Server, e.Statement, now.Add(-e.Took), now)
 	srv := s.servers[e.Server]
@@ -209,11 +207,9 @@
 	return waited
 }
 
-// receiveHealthTransition applies an outcome from another region. Such evidence does not update the load of the
-// backend server, and its outcome does not count in this region's share of failures.
-func (s *service) receiveHealthTransition(e Evidence, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// applyHealthTransition applies an outcome from another region. Such evidence does not update the load of the
+// backend server, and its outcome does not count in this region's share of failures. The caller must hold the service's lock.
+func (s *service) applyHealthTransition(e Evidence, now time.Time) {
 	s.adopt(e.Server, e.Statement, now.Add(-e.Took), now)
 	if srv := s.servers[e.Server]; srv != nil && e.HasOutcome {
 		s.observe(srv, e.Outcome, e.Work.Class, e.Took, now)
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -65,8 +65,8 @@
 func (s *service) pick(
 	r *Request, deadline time.Time, tried map[string]bool, now time.Time,
 ) (res *reservation, why refusal) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.lock()
+	defer s.unlock()
 	s.isServing = s.options.Serves(s.name)
 	class := workload.ClassOf(r.Method, r.Target.Host, r.Target.Prefix, len(r.Body))
 	model, bytes := s.work.Of(class), s.work.MeanBytes(class)
--- a/internal/dispatch/question.go
+++ b/internal/dispatch/question.go
@@ -47,7 +47,7 @@
 // serves the service itself or has recently heard of them, and waits for the first answer. Without it, a VM that seldom gets
 // requests would choose among unhealthy and busy backend servers as if nothing were known.
 func (s *service) ensureEvidence(ctx context.Context, now time.Time) {
-	s.mu.Lock()
+	s.lock()
 	question := s.question
 	isKnown := now.Sub(s.evidenceAt) < answerLifetime
 	mustAsk := !isKnown && now.Sub(question.askedAt) >= answerLifetime
@@ -55,7 +55,7 @@
 		question = healthQuestion{askedAt: now, answered: make(chan struct{})}
 		s.question = question
 	}
-	s.mu.Unlock()
+	s.unlock()
 	if isKnown || question.answered == nil {
 		return
 	}
@@ -68,15 +68,19 @@
 }
 
 // KnownHealth returns the backend servers of a service that are most likely healthy, and those most likely unhealthy. It
-// returns none if this VM has no evidence on the service itself.
+// returns none if this VM has no evidence on the service itself, or if requests wait for the lock of the service: whoever receives the
+// question must not wait behind them.
 func (d *Dispatcher) KnownHealth(service string) []ServerHealth {
 	s := d.service(service)
 	if s == nil {
 		return nil
 	}
 	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	if !s.mu.TryLock() {
+		return nil
+	}
+	defer s.unlock()
+	s.applyNews()
 	if now.Sub(s.evidenceAt) >= evidenceLifetime {
 		return nil
 	}
@@ -101,9 +105,12 @@
 	if s == nil {
 		return
 	}
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.news.addReport(report{health: &healthAnswer{known}, at: time.Now()})
+	s.applyPending()
+}
+
+// applyHealth applies the answer of another VM. The caller must hold the service's lock.
+func (s *service) applyHealth(known []ServerHealth, now time.Time) {
 	for _, h := range known {
 		if srv := s.servers[h.Server]; srv != nil {
 			srv.estimate.Adopt(now, h.Unhealthy, answerLifetime/2)
--- a/internal/dispatch/retries.go
+++ b/internal/dispatch/retries.go
@@ -14,8 +14,8 @@
 
 // countRequest counts a new request of this VM.
 func (s *service) countRequest() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.lock()
+	defer s.unlock()
 	s.budget.AddRequest(time.Now())
 }
 
@@ -36,8 +36,8 @@
 // denyRetry takes a retry from the budget, or returns why the request gets none.
 func (s *service) denyRetry(r *Request, deadline, now time.Time) string {
 	allowance := room.Allowance{Own: s.options.RetryAllowance(s.name), Region: s.options.RegionRetryAllowance(s.name)}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.lock()
+	defer s.unlock()
 	durations := &s.work.Of(workload.ClassOf(r.Method, r.Target.Host, r.Target.Prefix, len(r.Body))).Durations
 	if durations.ExceedProbability(deadline.Sub(now), 1) > 1-minFinishProbability {
 		return reasonTooLate
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -85,6 +85,8 @@
 	name    string
 	options *Options
 
+	// news is what has not been applied yet. Use lock and unlock, which apply it, rather than mu.
+	news    news
 	mu      sync.Mutex
 	servers map[string]*server
 	// advice holds what backend servers have said about themselves. It outlives changes of the list.
@@ -114,15 +116,21 @@
 func newService(name string, o *Options, now time.Time) *service {
 	return &service{
 		name: name, options: o, servers: map[string]*server{}, advice: map[incarnation]*advice{},
+		news: news{leaving: map[incarnation]bool{}},
 		work:   workload.NewModel(initialDuration),
 		budget: room.NewRetryBudget(o.RetryRatio, o.RetryWindow, now),
 	}
 }
 
-// update applies the current list of backend servers.
+// update passes on the current list of backend servers. It does not wait for the lock of the service.
 func (s *service) update(list []roster.Server, maxConnections int, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.news.setList(serverList{servers: list, maxConnections: maxConnections, at: now})
+	s.applyPending()
+}
+
+// applyList applies a list of backend servers. The caller must hold the service's lock.
+func (s *service) applyList(l *serverList) {
+	list, maxConnections, now := l.servers, l.maxConnections, l.at
 	removed, isChanged := maps.Clone(s.servers), false
 	for _, entry := range list {
 		delete(removed, entry.ID)
