dispatch: the choice of a backend server is confirmed right before the request is written

Callers saw: requests sent to a backend server that had said that it leaves, or was gone (DRAIN). The list could change meanwhile, and nothing looked at it again.

Change: right before the first byte the newest list, and what backend servers have said themselves, decide again, applied or not. A request whose server has left is given to another one. Nothing was sent, so this takes no retry and counts neither against the server nor as a failed connection.

Ruled out: closing the connections of a server that leaves. Requests that run there would be lost, and the connection that is being opened would not be met.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -54,6 +54,8 @@
 	stepFinish nextStep = iota
 	// stepNextServer allows another attempt without using the retry budget, because nothing was sent.
 	stepNextServer
+	// stepChooseAgain is the same after a choice that had grown old, which says nothing about the connection.
+	stepChooseAgain
 	// stepRetry allows another attempt if the retry budget permits it.
 	stepRetry
 )
@@ -96,7 +98,7 @@
 
 // canContinue reports whether another attempt is allowed. A retry is taken from the budget of the service.
 func (a *attemptLoop) canContinue(next nextStep) bool {
-	if next == stepNextServer {
+	if next == stepNextServer || next == stepChooseAgain {
 		return true
 	}
 	return a.sent < a.request.Target.MaxAttempts && a.service.takeRetry(a.request, a.deadline, time.Now())
@@ -133,6 +135,9 @@
 	timing := Timing{ChosenAt: time.Now(), EntryRevision: res.entryRevision, Lag: a.dispatcher.options.Lag()}
 	outbound := a.outboundRequest(res.id)
 	outbound.BeforeWrite = func() error {
+		if err := a.confirmChoice(res); err != nil {
+			return err
+		}
 		timing.WrittenAt, timing.Lag = time.Now(), a.dispatcher.options.Lag()
 		a.logIfLate(res, &timing)
 		return nil
@@ -174,6 +179,18 @@
 	return stepFinish
 }
 
+// errServerLeft means that the backend server has left, or has said that it leaves, since it was chosen.
+var errServerLeft = errors.New("the backend server has left since it was chosen")
+
+// confirmChoice returns an error if the choice of a backend server no longer holds. It is called right before the request is
+// written: until then the request has waited, for a connection or for the processor.
+func (a *attemptLoop) confirmChoice(res *reservation) error {
+	if !a.service.news.mayReceive(incarnation{res.id, res.said.Incarnation}, res.address) {
+		return errServerLeft
+	}
+	return nil
+}
+
 // lateWrite is how long after the choice of its backend server the writing of a request is logged as late.
 const lateWrite = 250 * time.Millisecond
 
@@ -252,6 +269,10 @@
 	if ctx.Err() != nil {
 		return a.afterContextDone(ctx, res, mayHaveStarted)
 	}
+	if errors.Is(err, errServerLeft) {
+		res.release()
+		return a.setNotRun(reasonServerLeft, stepChooseAgain)
+	}
 	if errors.Is(err, backend.ErrTooManyConns) {
 		res.release()
 		return a.setNotRun(reasonAllBusy, stepNextServer)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -324,4 +324,5 @@
 	reasonCallerDisconnected = "the caller is gone"
 	reasonServerFailed       = "the backend server reported failure"
 	reasonConnect            = "no connection to a backend server"
+	reasonServerLeft         = "the backend server left before the request was sent"
 )
--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -11,10 +11,11 @@
 // reservation is a request that is open at a backend server.
 type reservation struct {
 	service *service
-	// server is guarded by the lock of its service; id and pool are copies from when it was picked.
-	server *server
-	id     string
-	pool   ConnectionPool
+	// server is guarded by the lock of its service; id, address and pool are copies from when it was picked.
+	server  *server
+	id      string
+	address string
+	pool    ConnectionPool
 	// said is what the backend server says about itself in its answer.
 	said Statement
 	// pause is the time for which the backend server wants nothing more from this VM.
@@ -44,7 +45,7 @@
 		Service: s.name, Server: chosen.ID, Open: chosen.queue.Own(), IsStart: true, Work: Work{class, s.nextNumber},
 	})
 	return &reservation{
-		service: s, server: chosen, id: chosen.ID, pool: chosen.pool, number: s.nextNumber, class: class, started: now,
+		service: s, server: chosen, id: chosen.ID, address: chosen.Address, pool: chosen.pool, number: s.nextNumber, class: class, started: now,
 		said: Statement{Incarnation: chosen.Incarnation}, entryRevision: chosen.Revision,
 		isTrial: c.isTrial, expectedWait: c.wait, unhealthyProbability: chosen.estimate.UnhealthyProbability(now),
 	}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -116,7 +116,7 @@
 func newService(name string, o *Options, now time.Time) *service {
 	return &service{
 		name: name, options: o, servers: map[string]*server{}, advice: map[incarnation]*advice{},
-		news: news{leaving: map[incarnation]bool{}},
+		news:   news{leaving: map[incarnation]bool{}},
 		work:   workload.NewModel(initialDuration),
 		budget: room.NewRetryBudget(o.RetryRatio, o.RetryWindow, now),
 	}
