dispatch: the time that is left is taken when a request is written, not before it waited

The clock was read before the wait for the lock of the service, so that a choice could be made seconds after its deadline and still count as in time; the header with the time that is left was built before the wait for a connection; and the timer of the request's context is late by as much as the process.

Change: the clock is read once the lock is held, and again right before the first byte, where the deadline decides and the header is set. A request that is past its deadline and was not sent is answered as not run, and does not count against the server, which never saw it. The budget for retries reads the clock under the lock too.

The scripted connection pool of the tests asks BeforeWrite, as the interface says now.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -72,7 +72,7 @@
 	defer func() { done() }()
 	connectFailures := 0
 	for {
-		res, why := a.service.pick(r, a.deadline, a.tried, time.Now())
+		res, why := a.service.pick(r, a.deadline, a.tried)
 		if res == nil {
 			return a.resultWithoutServer(why)
 		}
@@ -101,7 +101,7 @@
 	if next == stepNextServer || next == stepChooseAgain {
 		return true
 	}
-	return a.sent < a.request.Target.MaxAttempts && a.service.takeRetry(a.request, a.deadline, time.Now())
+	return a.sent < a.request.Target.MaxAttempts && a.service.takeRetry(a.request, a.deadline)
 }
 
 // result returns the result of the request. An answer that reports failure is still an answer: it is returned if no
@@ -122,6 +122,8 @@
 		return a.result()
 	}
 	switch {
+	case r.isPastDeadline:
+		return Result{Outcome: NotRun, Reason: reasonTimeLimit}
 	case r.wait == 0:
 		return Result{Outcome: NotRun, Reason: reasonNoServer, RetryAfter: retryAfterNoServer}
 	case r.isAdvised:
@@ -135,10 +137,12 @@
 	timing := Timing{ChosenAt: time.Now(), EntryRevision: res.entryRevision, Lag: a.dispatcher.options.Lag()}
 	outbound := a.outboundRequest(res.id)
 	outbound.BeforeWrite = func() error {
-		if err := a.confirmChoice(res); err != nil {
+		now := time.Now()
+		if err := a.confirmChoice(res, now); err != nil {
 			return err
 		}
-		timing.WrittenAt, timing.Lag = time.Now(), a.dispatcher.options.Lag()
+		outbound.Header[a.dispatcher.options.Protocol.DeadlineMS] = []string{strconv.FormatInt(max(1, a.deadline.Sub(now).Milliseconds()), 10)}
+		timing.WrittenAt, timing.Lag = now, a.dispatcher.options.Lag()
 		a.logIfLate(res, &timing)
 		return nil
 	}
@@ -179,12 +183,18 @@
 	return stepFinish
 }
 
+// errPastDeadline means that the deadline has passed. The timer of a context may be late by as much as the process.
+var errPastDeadline = errors.New("the deadline has passed")
+
 // errServerLeft means that the backend server has left, or has said that it leaves, since it was chosen.
 var errServerLeft = errors.New("the backend server has left since it was chosen")
 
 // confirmChoice returns an error if the choice of a backend server no longer holds. It is called right before the request is
 // written: until then the request has waited, for a connection or for the processor.
-func (a *attemptLoop) confirmChoice(res *reservation) error {
+func (a *attemptLoop) confirmChoice(res *reservation, now time.Time) error {
+	if !now.Before(a.deadline) {
+		return errPastDeadline
+	}
 	if !a.service.news.mayReceive(incarnation{res.id, res.said.Incarnation}, res.address) {
 		return errServerLeft
 	}
@@ -266,10 +276,13 @@
 		a.sent++
 		a.mayHaveRun = true
 	}
-	if ctx.Err() != nil {
+	switch {
+	case errors.Is(err, errPastDeadline):
+		res.release()
+		return a.setNotRun(reasonTimeLimit, stepFinish)
+	case ctx.Err() != nil:
 		return a.afterContextDone(ctx, res, mayHaveStarted)
-	}
-	if errors.Is(err, errServerLeft) {
+	case errors.Is(err, errServerLeft):
 		res.release()
 		return a.setNotRun(reasonServerLeft, stepChooseAgain)
 	}
@@ -326,14 +339,12 @@
 	return a.setNotRun(reasonConnect, stepFinish)
 }
 
-// outboundRequest returns the request with the headers for the backend server id.
+// outboundRequest returns the request with the headers for the backend server id, but for the time that is left: see BeforeWrite.
 func (a *attemptLoop) outboundRequest(id string) *backend.Request {
 	r, p := a.request, &a.dispatcher.options.Protocol
 	header := r.Header.Clone()
 	header[p.RequestID] = []string{r.ID}
 	header[p.ExpectedInstance] = []string{id}
-	left := max(1, time.Until(a.deadline).Milliseconds())
-	header[p.DeadlineMS] = []string{strconv.FormatInt(left, 10)}
 	return &backend.Request{
 		ID: r.ID, Method: r.Method, Target: r.URI, Host: r.Host, Header: header, Body: r.Body, MaxAnswerBytes: maxAnswerBytes,
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -142,8 +142,8 @@
 
 // ConnectionPool holds this VM's connections to one backend server.
 type ConnectionPool interface {
-	// Do sends a request and returns the complete answer. After an error, backend.MayHaveStarted reports whether the
-	// request may have run.
+	// Do sends a request, after BeforeWrite of the request has agreed, and returns the complete answer. After an error,
+	// backend.MayHaveStarted reports whether the request may have run.
 	Do(ctx context.Context, r *backend.Request) (*backend.Answer, error)
 	// HasIdle reports whether a request can be sent without opening a connection.
 	HasIdle() bool
--- a/internal/dispatch/outcome_test.go
+++ b/internal/dispatch/outcome_test.go
@@ -45,6 +45,9 @@
 }
 
 func (s *script) Do(ctx context.Context, r *backend.Request) (*backend.Answer, error) {
+	if err := r.BeforeWrite(); err != nil {
+		return nil, &backend.AttemptError{Err: err}
+	}
 	s.mu.Lock()
 	s.sent = append(s.sent, r)
 	next := s.steps[0]
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -62,11 +62,14 @@
 // pick reserves the backend server with the lowest expected cost. It returns nil and the reason if none can start the request
 // before the deadline. Near backend servers come first, so that most others are passed over by their minimum cost: assessing
 // all of them for each request takes half a millisecond in a service of 650.
-func (s *service) pick(
-	r *Request, deadline time.Time, tried map[string]bool, now time.Time,
-) (res *reservation, why refusal) {
+func (s *service) pick(r *Request, deadline time.Time, tried map[string]bool) (res *reservation, why refusal) {
 	s.lock()
 	defer s.unlock()
+	// The wait for the lock counts.
+	now := time.Now()
+	if !now.Before(deadline) {
+		return nil, refusal{isPastDeadline: true}
+	}
 	s.isServing = s.options.Serves(s.name)
 	class := workload.ClassOf(r.Method, r.Target.Host, r.Target.Prefix, len(r.Body))
 	model, bytes := s.work.Of(class), s.work.MeanBytes(class)
@@ -101,6 +104,8 @@
 	wait time.Duration
 	// isAdvised is set if a backend server has asked for a wait: its limit is reached, or it wants no requests for a time.
 	isAdvised bool
+	// isPastDeadline is set if the deadline has passed.
+	isPastDeadline bool
 }
 
 func (r *refusal) add(wait time.Duration) {
--- a/internal/dispatch/retries.go
+++ b/internal/dispatch/retries.go
@@ -21,23 +21,24 @@
 
 // takeRetry takes one retry from the budget of the service and reports whether there was one for the request. The VMs that share
 // the budget are told.
-func (s *service) takeRetry(r *Request, deadline, now time.Time) bool {
-	denied := s.denyRetry(r, deadline, now)
+func (s *service) takeRetry(r *Request, deadline time.Time) bool {
+	denied := s.denyRetry(r, deadline)
 	s.options.RecordRetry(s.name, r.Priority, denied == "")
 	if denied == "" {
 		s.options.ShareEvidence(Evidence{Service: s.name, IsRetry: true})
 		return true
 	}
 	logevent.RetryDenied.Log(s.options.Log).Str("request", r.ID).Str("service", s.name).Str("reason", denied).
-		Int("priority", r.Priority).Str("organisation", r.Organisation).Dur("left_ms", deadline.Sub(now)).Send()
+		Int("priority", r.Priority).Str("organisation", r.Organisation).Dur("left_ms", time.Until(deadline)).Send()
 	return false
 }
 
 // denyRetry takes a retry from the budget, or returns why the request gets none.
-func (s *service) denyRetry(r *Request, deadline, now time.Time) string {
+func (s *service) denyRetry(r *Request, deadline time.Time) string {
 	allowance := room.Allowance{Own: s.options.RetryAllowance(s.name), Region: s.options.RegionRetryAllowance(s.name)}
 	s.lock()
 	defer s.unlock()
+	now := time.Now()
 	durations := &s.work.Of(workload.ClassOf(r.Method, r.Target.Host, r.Target.Prefix, len(r.Body))).Durations
 	if durations.ExceedProbability(deadline.Sub(now), 1) > 1-minFinishProbability {
 		return reasonTooLate
