lag: a VM whose work waits knows that it is late

Callers saw: requests held past their route's time-out, or for seconds before they were sent on (CONFIG, DRAIN), on VMs that took more than they could carry and went on taking it. Such a VM refuses requests and asks to be spared once it lags by 250 ms, but the lag was that of a timer alone, and the scheduler runs a goroutine that a timer wakes before all that wait. With 200 goroutines of 3 ms that wait 600 ms for their turn the lag was 1.1 ms.

Change: the lag is the longest of the timer's delay, of the time for which nine in ten goroutines that are ready to run wait (the runtime's own figure), and of the wait of requests for the choice of their server, which waits for a lock and not for the processor.

Ruled out: a goroutine that yields and measures its return. It goes to the end of the global queue, which the scheduler reads once in 61 turns, so that it overstates short queues and understates long ones. The time from the reading of a request to its handling: a connection hands its request to a new goroutine, which the scheduler also runs first.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -184,6 +184,8 @@
 	RecordRetry func(service string, priority int, isSent bool)
 	// Lag returns how late the process runs, for the log.
 	Lag func() time.Duration
+	// ReportWait is called with the time that each request has waited for others until its backend server was chosen.
+	ReportWait func(time.Duration)
 	Log zerolog.Logger
 }
 
@@ -219,6 +221,9 @@
 	if o.Lag == nil {
 		o.Lag = func() time.Duration { return 0 }
 	}
+	if o.ReportWait == nil {
+		o.ReportWait = func(time.Duration) {}
+	}
 	if o.Connect == nil {
 		o.Connect = o.connectTCP()
 	}
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -63,10 +63,11 @@
 // before the deadline. Near backend servers come first, so that most others are passed over by their minimum cost: assessing
 // all of them for each request takes half a millisecond in a service of 650.
 func (s *service) pick(r *Request, deadline time.Time, tried map[string]bool) (res *reservation, why refusal) {
+	asked := time.Now()
 	s.lock()
 	defer s.unlock()
-	// The wait for the lock counts.
 	now := time.Now()
+	s.options.ReportWait(now.Sub(asked))
 	if !now.Before(deadline) {
 		return nil, refusal{isPastDeadline: true}
 	}
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -147,7 +147,7 @@
 		ShareCrash: endpoint.SendCrash,
 		Serves:     g.Serves, AskHealth: endpoint.AskHealth,
 		RetryRatio: s.RetryRatio, RetryWindow: s.RetryWindow, RetryAllowance: g.RetryAllowance,
-		RegionRetryAllowance: g.RegionRetryAllowance, RecordRetry: m.RecordRetry, Lag: lateness.Lag, Log: log,
+		RegionRetryAllowance: g.RegionRetryAllowance, RecordRetry: m.RecordRetry, Lag: lateness.Lag, ReportWait: lateness.ReportWait, Log: log,
 	})
 }
 
--- a/internal/lag/lag.go
+++ b/internal/lag/lag.go
@@ -1,5 +1,8 @@
-// Package lag measures how late this process runs: the delay between the time at which a timer fires and the time at which
-// its goroutine gets the processor. A process that lags cannot answer in time what it accepts.
+// Package lag measures how late this process runs. A process that lags cannot answer in time what it accepts.
+//
+// The lag is the longest of three delays: that of a timer, which shows a process that was stopped; that of goroutines that are ready
+// to run, which a timer does not show, since the scheduler runs a goroutine that a timer wakes first; and that of requests which
+// wait for each other, as their handlers report it.
 package lag
 
 import (
@@ -26,7 +29,10 @@
 
 // Monitor measures the lag of this process. It is safe for concurrent use.
 type Monitor struct {
-	log zerolog.Logger
+	log       zerolog.Logger
+	scheduler schedulerDelay
+	// longestWait is the longest reported wait since the last measurement, in nanoseconds.
+	longestWait atomic.Int64
 	// last is the last measured lag, in nanoseconds.
 	last atomic.Int64
 	// overloadedAt is the time of the last lag above maxLag.
@@ -34,7 +40,7 @@
 }
 
 // NewMonitor returns a Monitor that has measured nothing yet.
-func NewMonitor(log zerolog.Logger) *Monitor { return &Monitor{log: log} }
+func NewMonitor(log zerolog.Logger) *Monitor { return &Monitor{log: log, scheduler: newSchedulerDelay()} }
 
 // Run measures the lag until ctx ends.
 func (m *Monitor) Run(ctx context.Context) {
@@ -44,7 +50,14 @@
 			return
 		}
 		now := time.Now()
-		m.Record(now.Sub(due), now)
+		m.Record(max(now.Sub(due), m.scheduler.take(), time.Duration(m.longestWait.Swap(0))), now)
+	}
+}
+
+// ReportWait reports how long a request has waited for others in this process.
+func (m *Monitor) ReportWait(wait time.Duration) {
+	for longest := m.longestWait.Load(); int64(wait) > longest && !m.longestWait.CompareAndSwap(longest, int64(wait)); {
+		longest = m.longestWait.Load()
 	}
 }
 
--- a/internal/lag/lag_test.go
+++ b/internal/lag/lag_test.go
@@ -1,6 +1,7 @@
 package lag_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,3 +29,20 @@
 		c.Check(m.NeedsRelief(time.Now()), qt.IsFalse)
 	})
 }
+
+// TestReportedWaitsCountAsLag guards against a VM that goes on taking requests while those that it has taken wait for each other.
+func TestReportedWaitsCountAsLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		m := lag.NewMonitor(zerolog.Nop())
+		go m.Run(ctx)
+		m.ReportWait(600 * time.Millisecond)
+		m.ReportWait(2 * time.Millisecond)
+		time.Sleep(300 * time.Millisecond)
+		c.Check(m.Lag(), qt.Equals, 600*time.Millisecond)
+		time.Sleep(200 * time.Millisecond)
+		c.Check(m.IsOverloaded(), qt.IsFalse)
+	})
+}
--- a/internal/lag/saturated_test.go
+++ b/internal/lag/saturated_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,19 +19,21 @@
 	c := qt.New(t)
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	ctx, cancel := context.WithCancel(t.Context())
+	var working sync.WaitGroup
+	defer working.Wait()
 	defer cancel()
 	m := lag.NewMonitor(zerolog.Nop())
 	go m.Run(ctx)
 	// Each goroutine that waits for its turn waits for those of all others: 200 times 3 ms.
 	const workers, turn = 200, 3 * time.Millisecond
 	for range workers {
-		go func() {
+		working.Go(func() {
 			for ctx.Err() == nil {
 				for end := time.Now().Add(turn); time.Now().Before(end); {
 				}
 				runtime.Gosched()
 			}
-		}()
+		})
 	}
 	time.Sleep(time.Second)
 	const samples = 30
