ingress: the time of a request begins before a late read

A VM that runs late by so much has read it late by up to as much, so its time, and that of the route, counts from that much before. Above 250 ms the VM refuses requests, so no more than this is taken.

TestTimeCountsFromBeforeALateRead fails without the change: 900 ms left instead of 660.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -39,7 +39,8 @@
 	Organisation string
 	// Priority is the rank of the request, that of its organisation or else of its route; 0 is the highest.
 	Priority int
-	Arrival  time.Time
+	// Arrival is when the VM read the request, less how late it ran then: all times count from when the caller sent it.
+	Arrival time.Time
 	// ConfigVersion is the version of the configuration that Target comes from.
 	ConfigVersion uint64
 	// CallerDeadline is when the caller stops waiting. Zero means no deadline.
@@ -186,7 +187,7 @@
 	Lag func() time.Duration
 	// ReportWait is called with the time that each request has waited for others until its backend server was chosen.
 	ReportWait func(time.Duration)
-	Log zerolog.Logger
+	Log        zerolog.Logger
 }
 
 // Dispatcher sends requests to backend servers.
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -258,7 +258,7 @@
 			}
 			return state.Table()
 		},
-		IsEnding: state.IsEnding, IsOverloaded: in.Lag.IsOverloaded, Dispatcher: in.Dispatcher,
+		IsEnding: state.IsEnding, IsOverloaded: in.Lag.IsOverloaded, Lag: in.Lag.Lag, Dispatcher: in.Dispatcher,
 		KeyState: in.Proofs.KeyState, CountRefusedKey: in.Metrics.RecordRefusedKey,
 		Allowances: in.Allowances, RecordResult: in.Metrics.RecordRequest, Rates: in.Rates, Log: log,
 	})
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -48,6 +48,8 @@
 	IsEnding func() bool
 	// IsOverloaded reports whether the process runs too late to answer further requests in time.
 	IsOverloaded func() bool
+	// Lag returns how late the process runs. If it is nil, it is never late.
+	Lag func() time.Duration
 	// KeyState returns what this VM may do with the keys of a version of the configuration. If it is nil, it may serve and reject all.
 	KeyState func(version uint64) KeyState
 	// CountRefusedKey, if set, counts the requests that are refused because of their keys.
@@ -70,6 +72,9 @@
 	if o.KeyState == nil {
 		o.KeyState = func(uint64) KeyState { return KeyState{MayServe: true, IsCurrent: true} }
 	}
+	if o.Lag == nil {
+		o.Lag = func() time.Duration { return 0 }
+	}
 	if o.CountRefusedKey == nil {
 		o.CountRefusedKey = func(KeyRefusal) {}
 	}
@@ -124,7 +129,7 @@
 		h.turnAway(w, r, basis, refused)
 		return
 	}
-	request, refused := h.readRequest(w, r, table, target, arrival)
+	request, refused := h.readRequest(w, r, table, target, h.sentAt(arrival))
 	if refused.status != 0 {
 		h.giveBackAllowance(owner)
 		h.turnAway(w, r, basis, refused)
@@ -138,6 +143,9 @@
 	h.respond(w, request, result)
 }
 
+// sentAt returns when a request that was read at the given time had been sent at the latest: a process that runs late reads late.
+func (h *Handler) sentAt(read time.Time) time.Time { return read.Add(-h.Lag()) }
+
 // basis is what a request is handled by.
 type basis struct {
 	// table holds the routes in force, or is nil if no configuration is known.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -220,6 +220,23 @@
 	c.Check(response.StatusCode, qt.Equals, http.StatusBadGateway)
 }
 
+// TestTimeCountsFromBeforeALateRead guards against requests that a VM which runs late sends on after their callers' deadline: it has
+// read them late, and their time had begun before.
+func TestTimeCountsFromBeforeALateRead(t *testing.T) {
+	c := qt.New(t)
+	const lag = 240 * time.Millisecond
+	var left time.Duration
+	d := &scriptedDispatcher{do: func(_ context.Context, r *dispatch.Request) dispatch.Result {
+		left = time.Until(r.CallerDeadline)
+		return dispatch.Result{Outcome: dispatch.Unknown}
+	}}
+	handler := newHandler(d, func(o *ingress.Options) { o.Lag = func() time.Duration { return lag } })
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	exchange(t, strings.TrimPrefix(server.URL, "http://"), get+"X-Deadline: 900\r\n\r\n")
+	c.Check(left > 0 && left <= 900*time.Millisecond-lag, qt.IsTrue, qt.Commentf("%v", left))
+}
+
 // TestRateOfAHostThatBecomesBusy guards against a load that is reported too low for seconds after it has begun, also after a pause.
 func TestRateOfAHostThatBecomesBusy(t *testing.T) {
 	r := ingress.NewRates()
--- a/internal/ingress/read.go
+++ b/internal/ingress/read.go
@@ -16,7 +16,7 @@
 
 // readRequest reads the complete request and chooses its service, unless the request is invalid or there is no memory for its body.
 func (h *Handler) readRequest(
-	w http.ResponseWriter, r *http.Request, table *route.Table, target *route.Target, arrival time.Time,
+	w http.ResponseWriter, r *http.Request, table *route.Table, target *route.Target, sent time.Time,
 ) (*dispatch.Request, refusal) {
 	if limit := table.Config.Limits.MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
 		return nil, refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header too long"}
@@ -26,7 +26,7 @@
 		return nil, refusal{status: http.StatusBadRequest, reason: "no request id"}
 	}
 	out := &dispatch.Request{
-		ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Target: target, Arrival: arrival,
+		ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Target: target, Arrival: sent,
 		ConfigVersion: table.Config.Version,
 	}
 	bodyTimeout := defaultBodyTimeout
@@ -36,7 +36,7 @@
 			return nil, refusal{status: http.StatusBadRequest, reason: "unreadable deadline"}
 		}
 		bodyTimeout = time.Duration(ms) * time.Millisecond
-		out.CallerDeadline = arrival.Add(bodyTimeout)
+		out.CallerDeadline = sent.Add(bodyTimeout)
 	}
 	body, refused := readBody(w, r, table.Config.Limits.MaxBodyBytes, min(bodyTimeout, target.Timeout))
 	if refused.status != 0 {
--- a/internal/lag/lag.go
+++ b/internal/lag/lag.go
@@ -40,7 +40,9 @@
 }
 
 // NewMonitor returns a Monitor that has measured nothing yet.
-func NewMonitor(log zerolog.Logger) *Monitor { return &Monitor{log: log, scheduler: newSchedulerDelay()} }
+func NewMonitor(log zerolog.Logger) *Monitor {
+	return &Monitor{log: log, scheduler: newSchedulerDelay()}
+}
 
 // Run measures the lag until ctx ends.
 func (m *Monitor) Run(ctx context.Context) {
