ingress: a request that waited is decided on again if the configuration has changed its way

The same class as the sends to leaving servers, found by looking for it: the route, the service and the organisation of a request are those of the moment at which its header was read. Requests wait after that, behind earlier ones of their connection, for their choice and for a connection to a server, on a late VM for seconds, and then ran at a service that a newer configuration had taken away, or with a key that had been revoked meanwhile.

Change: right before the first byte the configuration in force is asked whether the request may still go to its service for the same organisation. Where it may not, nothing is sent, and the request is decided on again as a whole, three times at most. A version that changes nothing for the request changes nothing.

Ruled out: to refuse it. The caller would have to come again for a change that it cannot see. To take the newest configuration for each decision: halves of two versions would be mixed.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -186,6 +186,9 @@
 // errPastDeadline means that the deadline has passed. The timer of a context may be late by as much as the process.
 var errPastDeadline = errors.New("the deadline has passed")
 
+// errSuperseded means that the configuration in force no longer lets the request go to its service.
+var errSuperseded = errors.New("the configuration has changed since the service was chosen")
+
 // errServerLeft means that the backend server has left, or has said that it leaves, since it was chosen.
 var errServerLeft = errors.New("the backend server has left since it was chosen")
 
@@ -195,6 +198,9 @@
 	if !now.Before(a.deadline) {
 		return errPastDeadline
 	}
+	if isAllowed := a.request.IsStillAllowed; isAllowed != nil && !isAllowed() {
+		return errSuperseded
+	}
 	if !a.service.news.mayReceive(incarnation{res.id, res.said.Incarnation}, res.address) {
 		return errServerLeft
 	}
@@ -282,6 +288,11 @@
 		return a.setNotRun(reasonTimeLimit, stepFinish)
 	case ctx.Err() != nil:
 		return a.afterContextDone(ctx, res, mayHaveStarted)
+	case errors.Is(err, errSuperseded):
+		res.release()
+		next := a.setNotRun(reasonSuperseded, stepFinish)
+		a.lastResult.IsSuperseded = a.lastResult.Outcome == NotRun
+		return next
 	case errors.Is(err, errServerLeft):
 		res.release()
 		return a.setNotRun(reasonServerLeft, stepChooseAgain)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -45,6 +45,9 @@
 	ConfigVersion uint64
 	// CallerDeadline is when the caller stops waiting. Zero means no deadline.
 	CallerDeadline time.Time
+	// IsStillAllowed, if set, reports whether the configuration in force still lets the request go to Service. It is asked right
+	// before the request is written.
+	IsStillAllowed func() bool
 }
 
 // Outcome is the kind of result that a request has.
@@ -74,6 +77,9 @@
 	Answer *backend.Answer
 	// RetryAfter is the time after which a request that has not run may be sent again.
 	RetryAfter time.Duration
+	// IsSuperseded is set if the request has not run because the configuration in force no longer lets it go to its service. It may
+	// have to go elsewhere.
+	IsSuperseded bool
 	// Reason is why there is no successful answer.
 	Reason string
 	// Server is the backend server of the last attempt. UnhealthyProbability is the unhealthy probability that this
@@ -330,5 +336,6 @@
 	reasonCallerDisconnected = "the caller is gone"
 	reasonServerFailed       = "the backend server reported failure"
 	reasonConnect            = "no connection to a backend server"
+	reasonSuperseded         = "the configuration has changed before the request was sent"
 	reasonServerLeft         = "the backend server left before the request was sent"
 )
--- a/internal/dispatch/oldnews_test.go
+++ b/internal/dispatch/oldnews_test.go
@@ -194,6 +194,24 @@
 	}
 }
 
+// TestNothingIsSentByASupersededConfiguration guards against requests that run at a service to which the configuration in force does
+// not let them go, because it came while they waited for a connection (CONFIG).
+func TestNothingIsSentByASupersededConfiguration(t *testing.T) {
+	c := qt.New(t)
+	v := newSlowVM(0, 50*time.Millisecond)
+	r := v.request("1", time.Second)
+	asked := 0
+	r.IsStillAllowed = func() bool {
+		asked++
+		return false
+	}
+	result := v.Do(t.Context(), r)
+	c.Check(result.Outcome, qt.Equals, dispatch.NotRun)
+	c.Check(result.IsSuperseded, qt.IsTrue)
+	c.Check(v.sent, qt.HasLen, 0)
+	c.Check(asked, qt.Equals, 1)
+}
+
 // TestRequestsAreNotSentAfterTheirDeadline guards against requests that are sent to a backend server after their deadline, or with
 // next to no time, because the clock was read before the wait for their choice.
 func TestRequestsAreNotSentAfterTheirDeadline(t *testing.T) {
--- a/internal/ingress/identify.go
+++ b/internal/ingress/identify.go
@@ -35,30 +35,43 @@
 
 // identify returns the organisation whose key the request carries, or nil if the request needs no key.
 func (h *Handler) identify(r *http.Request, basis basis, target *route.Target) (*organisation.Organisation, refusal) {
-	table := basis.table
-	if table.Config.Organisations == nil || target.IsPublic {
-		return nil, refusal{}
+	owner, why := h.findOwner(r, basis, target)
+	if why == "" {
+		return owner, refusal{}
 	}
-	if !basis.keys.MayServe {
-		h.CountRefusedKey(RefusedUnproven)
+	h.CountRefusedKey(why)
+	switch why {
+	case RefusedUnproven:
 		return nil, refusal{http.StatusServiceUnavailable, "the VM cannot show that its keys are current", retryAfterUnproven}
+	case RefusedNotCurrent:
+		return nil, refusal{http.StatusServiceUnavailable, "the key is unknown here and the VM's configuration may be old", retryAfterUnproven}
 	}
 	key, ok := keyOf(r.Header)
-	if ok {
-		if o := table.Config.Organisations.FindByKey(key); o != nil {
-			return o, refusal{}
+	if !ok {
+		return nil, refusal{status: http.StatusUnauthorized, reason: "no key"}
+	}
+	return nil, refusal{status: http.StatusUnauthorized, reason: "unknown key " + organisation.DigestOf(key).String()}
+}
+
+// findOwner returns the organisation whose key the request carries, nil if the request needs no key, or why its key is refused.
+func (h *Handler) findOwner(r *http.Request, basis basis, target *route.Target) (*organisation.Organisation, KeyRefusal) {
+	directory := basis.table.Config.Organisations
+	if directory == nil || target.IsPublic {
+		return nil, ""
+	}
+	if !basis.keys.MayServe {
+		return nil, RefusedUnproven
+	}
+	if key, ok := keyOf(r.Header); ok {
+		if o := directory.FindByKey(key); o != nil {
+			return o, ""
 		}
 	}
 	if !basis.keys.IsCurrent {
 		// The key, or a route that needs none, may just have been added.
-		h.CountRefusedKey(RefusedNotCurrent)
-		return nil, refusal{http.StatusServiceUnavailable, "the key is unknown here and the VM's configuration may be old", retryAfterUnproven}
+		return nil, RefusedNotCurrent
 	}
-	h.CountRefusedKey(RefusedUnknown)
-	if !ok {
-		return nil, refusal{status: http.StatusUnauthorized, reason: "no key"}
-	}
-	return nil, refusal{status: http.StatusUnauthorized, reason: "unknown key " + organisation.DigestOf(key).String()}
+	return nil, RefusedUnknown
 }
 
 // KeyState is what a VM may do with the keys of its configuration.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -22,6 +22,7 @@
 	"github.com/primroseladder/primroseladder/internal/dispatch"
 	"github.com/primroseladder/primroseladder/internal/header"
 	"github.com/primroseladder/primroseladder/internal/logevent"
+	"github.com/primroseladder/primroseladder/internal/organisation"
 	"github.com/primroseladder/primroseladder/internal/route"
 )
 
@@ -100,26 +101,53 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.countRequest(r)
+	isSuperseded := h.handle(w, r, h.basisOf(r))
+	for range maxDecisions - 1 {
+		if !isSuperseded {
+			return
+		}
+		isSuperseded = h.handle(w, r, h.currentBasis(r.Context()))
+	}
+	if isSuperseded {
+		h.refuse(w, r, "the configuration keeps changing", minRetryAfter)
+	}
+}
+
+// maxDecisions is how many versions of the configuration a request is decided on by. Versions come at most a few times a second, and
+// one that changes where a request goes is rare.
+const maxDecisions = 3
+
+// countRequest counts a request of a host that the configuration holds.
+func (h *Handler) countRequest(r *http.Request) {
+	if table := h.tableOf(r); table != nil {
+		if target := table.Find(requestHost(r), r.URL.Path); target != nil {
+			h.Rates.Count(target.Host, callerconn.Arrival(r.Context()))
+		}
+	}
+}
+
+// handle decides on a request by a basis, executes it and responds. It responds nothing and returns true if the configuration has
+// changed so that it would have to go elsewhere, before any of it was sent.
+func (h *Handler) handle(w http.ResponseWriter, r *http.Request, basis basis) (isSuperseded bool) {
 	arrival := callerconn.Arrival(r.Context())
-	basis := h.basisOf(r)
 	table := basis.table
 	if table == nil {
 		h.refuse(w, r, "no configuration is known", retryAfterNoConfig)
-		return
+		return false
 	}
 	if h.IsEnding() {
 		h.refuse(w, r, "the VM is stopping", retryAfterStopping)
-		return
+		return false
 	}
 	target := table.Find(requestHost(r), r.URL.Path)
 	if target == nil {
 		h.reject(w, r, http.StatusNotFound, "no route")
-		return
+		return false
 	}
-	h.Rates.Count(target.Host, arrival)
 	if h.IsOverloaded() {
 		h.refuse(w, r, "the VM is overloaded", retryAfterOverloaded)
-		return
+		return false
 	}
 	owner, refused := h.identify(r, basis, target)
 	if refused.status == 0 {
@@ -127,20 +155,49 @@
 	}
 	if refused.status != 0 {
 		h.turnAway(w, r, basis, refused)
-		return
+		return false
 	}
 	request, refused := h.readRequest(w, r, table, target, h.sentAt(arrival))
 	if refused.status != 0 {
 		h.giveBackAllowance(owner)
 		h.turnAway(w, r, basis, refused)
-		return
+		return false
 	}
 	h.setOrganisation(request, table, owner)
+	request.IsStillAllowed = func() bool { return h.isStillAllowed(r, basis, request, owner) }
 	result := h.Dispatcher.Do(r.Context(), request)
 	if result.Outcome == dispatch.NotRun {
 		h.giveBackAllowance(owner)
 	}
+	if result.IsSuperseded {
+		return true
+	}
 	h.respond(w, request, result)
+	return false
+}
+
+// isStillAllowed reports whether the configuration in force would let a request, which was decided on by an earlier basis, go to its
+// service for the same organisation.
+func (h *Handler) isStillAllowed(r *http.Request, decided basis, request *dispatch.Request, owner *organisation.Organisation) bool {
+	current := h.currentBasis(r.Context())
+	if owner != nil && !current.keys.MayServe {
+		return false
+	}
+	if current.table == decided.table {
+		return true
+	}
+	target := current.table.Find(requestHost(r), r.URL.Path)
+	if target == nil || !target.LeadsTo(request.Service) {
+		return false
+	}
+	holder, refused := h.findOwner(r, current, target)
+	switch {
+	case refused != "" || (holder == nil) != (owner == nil):
+		return false
+	case owner == nil:
+		return true
+	}
+	return holder.Name == owner.Name
 }
 
 // sentAt returns when a request that was read at the given time had been sent at the latest: a process that runs late reads late.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -85,6 +85,11 @@
 	}
 }
 
+// LeadsTo reports whether requests of the route may go to the service.
+func (t *Target) LeadsTo(service string) bool {
+	return slices.ContainsFunc(t.Shares, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // NextService returns the service for the next request by smooth weighted round robin: the number of requests that a service
 // gets differs from its exact share by at most one.
 func (t *Target) NextService() string {
