--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -138,7 +138,7 @@
 	outbound := a.outboundRequest(res.id)
 	outbound.BeforeWrite = func() error {
 		now := time.Now()
-		if err := a.confirmChoice(res, now); err != nil {
+		if err := a.confirmChoice(res, f, now); err != nil {
 			return err
 		}
 		outbound.Header[a.dispatcher.options.Protocol.DeadlineMS] = []string{strconv.FormatInt(max(1, a.deadline.Sub(now).Milliseconds()), 10)}
@@ -189,15 +189,21 @@
 // errSuperseded means that the configuration in force no longer lets the request go to its service.
 var errSuperseded = errors.New("the configuration has changed since the service was chosen")
 
+// errBlocked means that the request has been blocked since it was allowed to run.
+var errBlocked = errors.New("the request has crashed backend servers meanwhile")
+
 // errServerLeft means that the backend server has left, or has said that it leaves, since it was chosen.
 var errServerLeft = errors.New("the backend server has left since it was chosen")
 
 // confirmChoice returns an error if the choice of a backend server no longer holds. It is called right before the request is
 // written: until then the request has waited, for a connection or for the processor.
-func (a *attemptLoop) confirmChoice(res *reservation, now time.Time) error {
+func (a *attemptLoop) confirmChoice(res *reservation, f poison.Fingerprint, now time.Time) error {
 	if !now.Before(a.deadline) {
 		return errPastDeadline
 	}
+	if a.dispatcher.crashes.IsBlocked(f) {
+		return errBlocked
+	}
 	if isAllowed := a.request.IsStillAllowed; isAllowed != nil && !isAllowed() {
 		return errSuperseded
 	}
@@ -288,6 +294,11 @@
 		return a.setNotRun(reasonTimeLimit, stepFinish)
 	case ctx.Err() != nil:
 		return a.afterContextDone(ctx, res, mayHaveStarted)
+	case errors.Is(err, errBlocked):
+		res.release()
+		next := a.setNotRun(reasonBlocked, stepFinish)
+		a.lastResult.RetryAfter = retryAfterBlocked
+		return next
 	case errors.Is(err, errSuperseded):
 		res.release()
 		next := a.setNotRun(reasonSuperseded, stepFinish)
--- a/internal/dispatch/oldnews_test.go
+++ b/internal/dispatch/oldnews_test.go
@@ -212,6 +212,24 @@
 	c.Check(asked, qt.Equals, 1)
 }
 
+// TestNothingIsSentThatHasBeenBlockedMeanwhile guards against requests that crash a further backend server because the news of their
+// crashes came while they waited for a connection (BUDGET).
+func TestNothingIsSentThatHasBeenBlockedMeanwhile(t *testing.T) {
+	c := qt.New(t)
+	const connectTime = 100 * time.Millisecond
+	v := newSlowVM(0, connectTime)
+	r := v.request("1", time.Second)
+	time.AfterFunc(connectTime/2, func() {
+		for _, server := range []string{"i-1", "i-2"} {
+			v.ReceiveCrash(poison.Crash{Fingerprint: poison.FingerprintOf(r.Organisation, r.Method, r.Host+r.URI, r.Body), Server: server})
+		}
+	})
+	result := v.Do(t.Context(), r)
+	c.Check(result.Outcome, qt.Equals, dispatch.NotRun)
+	c.Check(result.RetryAfter > time.Second, qt.IsTrue)
+	c.Check(v.sent, qt.HasLen, 0)
+}
+
 // TestRequestsAreNotSentAfterTheirDeadline guards against requests that are sent to a backend server after their deadline, or with
 // next to no time, because the clock was read before the wait for their choice.
 func TestRequestsAreNotSentAfterTheirDeadline(t *testing.T) {
