roster: a change of a backend server passes on its service alone

Each change copied the entries of all services and walked all servers of all of them, each under the lock that its requests need. Services that have not changed are left alone now; the lists of the others are built from what the roster keeps by service.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"net/http"
 	"sync"
@@ -240,8 +241,20 @@
 	return &Dispatcher{options: o, crashes: o.Crashes, services: map[string]*service{}}
 }
 
-// Update applies the current backend servers and connection limits.
+// Update applies the current backend servers of all services and connection limits.
 func (d *Dispatcher) Update(servers map[string][]roster.Server, config *route.Config) {
+	all := map[string][]roster.Server{}
+	d.mu.RLock()
+	for name := range d.services {
+		all[name] = nil
+	}
+	d.mu.RUnlock()
+	maps.Copy(all, servers)
+	d.UpdateChanged(all, config)
+}
+
+// UpdateChanged applies the current backend servers of some services, and connection limits. Others stay as they are.
+func (d *Dispatcher) UpdateChanged(servers map[string][]roster.Server, config *route.Config) {
 	limits := map[string]int{}
 	if config != nil {
 		for _, s := range config.Services {
@@ -249,15 +262,13 @@
 		}
 	}
 	now := time.Now()
+	current := make([]*service, 0, len(servers))
 	d.mu.Lock()
 	for name := range servers {
 		if d.services[name] == nil {
 			d.services[name] = newService(name, &d.options, now)
 		}
-	}
-	current := make([]*service, 0, len(d.services))
-	for _, s := range d.services {
-		current = append(current, s)
+		current = append(current, d.services[name])
 	}
 	d.mu.Unlock()
 	for _, s := range current {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -128,13 +128,13 @@
 	}
 }
 
-// updateDispatcher passes the backend servers and the configuration in force to the dispatcher.
+// updateDispatcher passes the changed services and the configuration in force to the dispatcher.
 func (s *State) updateDispatcher() {
 	var config *route.Config
 	if table := s.Table(); table != nil {
 		config = table.Config
 	}
-	s.dispatcher.Update(s.roster.ByService(), config)
+	s.dispatcher.UpdateChanged(s.roster.TakeChanged(), config)
 }
 
 // adoptConfig puts a configuration in force unless it is invalid or its version is not newer than that in force. A deleted
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -2,6 +2,8 @@
 package roster
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -25,36 +27,60 @@
 	WarmupRemaining time.Duration
 }
 
-// Roster holds backend servers by ID. It is safe for concurrent use.
+// Roster holds backend servers by service. It is safe for concurrent use.
 type Roster struct {
-	mu      sync.Mutex
-	servers map[string]Server
+	mu sync.Mutex
+	// services holds the backend servers of each service by ID, and serviceOf the service of each ID.
+	services  map[string]map[string]Server
+	serviceOf map[string]string
+	// changed holds the services that have changed since the last TakeChanged.
+	changed map[string]bool
 }
 
 // New returns an empty roster.
-func New() *Roster { return &Roster{servers: map[string]Server{}} }
+func New() *Roster {
+	return &Roster{services: map[string]map[string]Server{}, serviceOf: map[string]string{}, changed: map[string]bool{}}
+}
 
 // Put adds or replaces a backend server.
 func (r *Roster) Put(s Server) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.servers[s.ID] = s
+	if r.serviceOf[s.ID] != s.Service {
+		r.remove(s.ID)
+	}
+	if r.services[s.Service] == nil {
+		r.services[s.Service] = map[string]Server{}
+	}
+	r.services[s.Service][s.ID], r.serviceOf[s.ID], r.changed[s.Service] = s, s.Service, true
 }
 
 // Remove removes a backend server.
 func (r *Roster) Remove(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.servers, id)
+	r.remove(id)
+}
+
+func (r *Roster) remove(id string) {
+	service, isKnown := r.serviceOf[id]
+	if !isKnown {
+		return
+	}
+	delete(r.services[service], id)
+	delete(r.serviceOf, id)
+	r.changed[service] = true
 }
 
-// ByService returns the backend servers of each service.
-func (r *Roster) ByService() map[string][]Server {
+// TakeChanged returns the backend servers of the services that have changed since the last call. The list of a service that has none
+// left is empty.
+func (r *Roster) TakeChanged() map[string][]Server {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := map[string][]Server{}
-	for _, s := range r.servers {
-		out[s.Service] = append(out[s.Service], s)
+	out := make(map[string][]Server, len(r.changed))
+	for service := range r.changed {
+		out[service] = slices.Collect(maps.Values(r.services[service]))
 	}
+	clear(r.changed)
 	return out
 }
