gateway: a bound on revoked keys that the settings lower holds at once, and no setting is kept silently

The bound was taken when the process started; the reload reported it as in force.

Change: the proofs of freshness, and how long the store may hold a watch, ask for the bound in force each time. The same class elsewhere: processor, memory and link of the VM, the ratio and the window of retries, and window, share and slack of allowances are built in at the start too; a reload now keeps them and names them in until_restart.

--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -50,9 +50,11 @@
 
 // Tracker keeps the latest proofs of this VM. It is safe for concurrent use.
 type Tracker struct {
-	bound    time.Duration
-	now      Clock
-	readFrom time.Duration
+	// bound returns the time for which keys may be served after they were taken away. It may change.
+	bound func() time.Duration
+	now   Clock
+	// readFrom is the share of the bound from which this VM reads the store itself.
+	readFrom float64
 	first    chan struct{}
 
 	mu sync.Mutex
@@ -73,14 +75,12 @@
 	at    time.Duration
 }
 
-// NewTracker returns a Tracker for keys that may be served for the given time after they were taken away.
-func NewTracker(bound time.Duration, now Clock) *Tracker {
-	t := &Tracker{bound: bound, now: now, first: make(chan struct{})}
-	t.readFrom = t.share(readShare + readSpread*rand.Float64())
-	return t
+// NewTracker returns a Tracker for keys that may be served for the time that bound returns after they were taken away.
+func NewTracker(bound func() time.Duration, now Clock) *Tracker {
+	return &Tracker{bound: bound, now: now, first: make(chan struct{}), readFrom: readShare + readSpread*rand.Float64()}
 }
 
-func (t *Tracker) share(x float64) time.Duration { return time.Duration(x * float64(t.bound)) }
+func (t *Tracker) share(x float64) time.Duration { return time.Duration(x * float64(t.bound())) }
 
 // Now returns the time by the clock of the proofs.
 func (t *Tracker) Now() time.Duration { return t.now() }
@@ -164,7 +164,7 @@
 	if !ok {
 		return t.unanswered >= questionsBeforeRead
 	}
-	return now-p.At > t.readFrom
+	return now-p.At > t.share(t.readFrom)
 }
 
 // First returns a channel that is closed once there is a proof of any configuration.
@@ -201,7 +201,7 @@
 func (t *Tracker) Answer(version uint64) (proven uint64, age time.Duration, ok bool) {
 	p, ok := t.Latest(version)
 	age = t.now() - p.At
-	return p.Version, age, ok && age < t.bound
+	return p.Version, age, ok && age < t.bound()
 }
 
 // ReceiveAnswer records the answer to the question with the given nonce. Answers to other questions are ignored.
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -18,7 +18,7 @@
 
 func newTracker() (*fakeClock, *freshness.Tracker) {
 	clock := &fakeClock{now: time.Hour}
-	return clock, freshness.NewTracker(bound, clock.Now)
+	return clock, freshness.NewTracker(func() time.Duration { return bound }, clock.Now)
 }
 
 // TestSuspendedVMServesNoKeys suspends a VM right after it has read the store.
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -174,7 +174,7 @@
 		FirstReadersAfter: membership.FirstReadersAfter(p.Settings.Get().Zone),
 		Registered:        r.Registered(), IsFirstStart: p.Settings.Get().IsFirstStart,
 		IsResumed: r.IsResumed, OnStateChange: endpoint.Announce, OnConfirm: endpoint.SendToZoneRelays,
-		BeginRead: k.BeginRead, MustRead: k.MustRead, WatchWait: watchWait(p.Settings.Get()), Log: log,
+		BeginRead: k.BeginRead, MustRead: k.MustRead, WatchWait: watchWait(p.Settings), Log: log,
 	})
 }
 
--- a/internal/gateway/proofs.go
+++ b/internal/gateway/proofs.go
@@ -18,8 +18,10 @@
 // KeyProofs keeps the proof that the keys of this VM are current, where keys that are taken away bind VMs that cannot hear of it.
 // Elsewhere, and while the configuration has no organisations, it asks nothing and every key may be served.
 type KeyProofs struct {
-	state   *State
-	copy    *mirror.Copy
+	state *State
+	copy  *mirror.Copy
+	// bound returns Settings.RevocationBound in force.
+	bound   func() time.Duration
 	tracker *freshness.Tracker
 	fleet   *membership.Fleet
 	// ask sends a question to another VM.
@@ -31,20 +33,22 @@
 	wasUnproven bool
 }
 
-// newKeyProofs returns the KeyProofs of a VM. Its tracker is nil unless the settings bind VMs that cannot hear of changes.
-func newKeyProofs(s *Settings, state *State, c *mirror.Copy, f *membership.Fleet, ep *vmpeer.Endpoint, log zerolog.Logger) *KeyProofs {
-	k := &KeyProofs{
-		state: state, copy: c, fleet: f, ask: ep.AskProof, onChange: ep.AnnounceToZone, log: log, wasUnproven: true,
+func newKeyProofs(
+	live *LiveSettings, state *State, c *mirror.Copy, f *membership.Fleet, ep *vmpeer.Endpoint, log zerolog.Logger,
+) *KeyProofs {
+	bound := func() time.Duration { return live.Get().RevocationBound }
+	return &KeyProofs{
+		state: state, copy: c, bound: bound, tracker: freshness.NewTracker(bound, freshness.BootClock), fleet: f, ask: ep.AskProof,
+		onChange: ep.AnnounceToZone, log: log, wasUnproven: true,
 	}
-	if s.RevocationBound > 0 {
-		k.tracker = freshness.NewTracker(s.RevocationBound, freshness.BootClock)
-	}
-	return k
 }
 
+// isBound reports whether the settings bind VMs that cannot hear of changes.
+func (k *KeyProofs) isBound() bool { return k.bound() > 0 }
+
 // isNeeded reports whether requests carry keys, as far as this VM knows, and the settings require proofs for them.
 func (k *KeyProofs) isNeeded() bool {
-	if k.tracker == nil {
+	if !k.isBound() {
 		return false
 	}
 	table := k.state.Table()
@@ -71,7 +75,7 @@
 
 // KeyState returns what this VM may do with the keys of a version of the configuration.
 func (k *KeyProofs) KeyState(version uint64) ingress.KeyState {
-	if k.tracker == nil {
+	if !k.isBound() {
 		return ingress.KeyState{MayServe: true, IsCurrent: k.copy.Age(time.Now()) <= maxUnknownAge, ProofAge: freshness.NoAge}
 	}
 	s := k.tracker.State(version)
@@ -83,7 +87,7 @@
 
 // Age returns the age of the proof, or freshness.NoAge.
 func (k *KeyProofs) Age() time.Duration {
-	if k.tracker == nil {
+	if !k.isBound() {
 		return freshness.NoAge
 	}
 	return k.tracker.State(k.version()).Age
@@ -91,7 +95,7 @@
 
 // BeginRead implements mirror.Options.
 func (k *KeyProofs) BeginRead() (end func()) {
-	if k.tracker == nil {
+	if !k.isBound() {
 		return func() {}
 	}
 	sent := k.tracker.Now()
@@ -108,7 +112,7 @@
 
 // KnownProof implements vmpeer.Prover.
 func (k *KeyProofs) KnownProof() (version uint64, age time.Duration, ok bool) {
-	if k.tracker == nil {
+	if !k.isBound() {
 		return 0, 0, false
 	}
 	return k.tracker.Answer(k.version())
@@ -116,7 +120,7 @@
 
 // ReceiveProof implements vmpeer.Prover.
 func (k *KeyProofs) ReceiveProof(nonce, version uint64, age time.Duration) {
-	if k.tracker != nil {
+	if k.isBound() {
 		k.tracker.ReceiveAnswer(nonce, version, age)
 	}
 }
@@ -125,18 +129,26 @@
 // end of a watch has a proof of this age.
 const watchShare = 1.0 / 8
 
-// watchWait returns how long the store may hold a watch open, or 0 for the default.
-func watchWait(s *Settings) time.Duration {
-	return time.Duration(watchShare * float64(s.RevocationBound))
+// watchWait returns a function that returns how long the store may hold a watch open, or 0 for the default.
+func watchWait(live *LiveSettings) func() time.Duration {
+	return func() time.Duration { return time.Duration(watchShare * float64(live.Get().RevocationBound)) }
 }
 
+// unboundInterval is the interval at which a VM looks whether the settings bind it.
+const unboundInterval = time.Second
+
 // Run asks other VMs until ctx ends.
 func (k *KeyProofs) Run(ctx context.Context) {
-	if k.tracker == nil {
-		return
+	for {
+		interval := unboundInterval
+		if k.isBound() {
+			interval = freshness.FirstAskInterval
+			k.askIfDue()
+		}
+		if !periodic.Pause(ctx, interval) {
+			return
+		}
 	}
-	k.askIfDue()
-	periodic.Run(ctx, freshness.FirstAskInterval, k.askIfDue)
 }
 
 func (k *KeyProofs) askIfDue() {
--- a/internal/gateway/proofs_test.go
+++ b/internal/gateway/proofs_test.go
@@ -57,6 +57,7 @@
 	f := &proofFleet{random: rand.New(rand.NewPCG(seed, 1)), byName: map[string]*proofVM{}, acknowledged: map[uint64]time.Time{}}
 	regions := map[string]string{"a": "r", "b": "r", "c": "q", "d": "q"}
 	began := time.Now()
+	bound := func() time.Duration { return proofBound }
 	for n := range size {
 		zone := string(rune('a' + n%4))
 		v := &proofVM{member: membership.Member{Name: fmt.Sprint("vm-", n), Zone: zone, Region: regions[zone], PeerAddress: fmt.Sprint(n), Revision: 1}}
@@ -65,7 +66,8 @@
 		state := NewState(nil, nil, fleet, nil, v.member, nil, zerolog.Nop())
 		v.KeyProofs = &KeyProofs{
 			state: state, fleet: fleet, log: zerolog.Nop(), wasUnproven: true, onChange: func() {},
-			tracker: freshness.NewTracker(proofBound, func() time.Duration { return time.Since(began) }),
+			bound:   bound,
+			tracker: freshness.NewTracker(bound, func() time.Duration { return time.Since(began) }),
 		}
 		v.ask = func(to membership.Member, nonce uint64) { f.question(v, f.byName[to.Name], nonce) }
 		f.vms, f.byName[v.member.Name] = append(f.vms, v), v
@@ -136,7 +138,7 @@
 		}
 		return
 	case v.isReader:
-		wait = watchWait(&Settings{RevocationBound: proofBound})
+		wait = watchWait(NewLiveSettings(&Settings{RevocationBound: proofBound}))()
 	case v.MustRead() && now.Sub(v.lastRead) > 500*time.Millisecond:
 		v.lastRead = now
 	default:
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -72,7 +72,7 @@
 // fixedFields are the settings that a running process cannot change.
 var fixedFields = []string{
 	"VM", "Zone", "Region", "Regions", "CallerListen", "ReadyListen", "DirectoryListen", "MetricsListen", "PeerListen",
-	"StoreAddress", "IsFirstStart",
+	"StoreAddress", "IsFirstStart", "Cores", "MemoryMB", "LinkMbps", "RetryRatio", "RetryWindow", "QuotaWindow", "QuotaOver", "QuotaSlack",
 }
 
 // Reload loads the settings again and puts them in force. If load fails, the previous ones stay in force. Fields that a
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -116,8 +116,9 @@
 	BeginRead func() (end func())
 	// MustRead, if set, reports whether this VM has to read the store although its copy is confirmed by other VMs.
 	MustRead func() bool
-	// WatchWait is how long the store holds a watch open without changes. It is at most the default of one second.
-	WatchWait time.Duration
+	// WatchWait, if set, returns how long the store holds a watch open without changes. It is at most the default of one second, which
+	// applies for 0 too.
+	WatchWait func() time.Duration
 	Log       zerolog.Logger
 }
 
@@ -149,8 +150,8 @@
 	if o.MustRead == nil {
 		o.MustRead = func() bool { return false }
 	}
-	if o.WatchWait <= 0 || o.WatchWait > maxWatchWait {
-		o.WatchWait = maxWatchWait
+	if o.WatchWait == nil {
+		o.WatchWait = func() time.Duration { return maxWatchWait }
 	}
 	return &Mirror{Options: o}
 }
@@ -325,8 +326,15 @@
 // isCopyEmpty reports whether this VM has no copy yet.
 func (m *Mirror) isCopyEmpty() bool { return m.Copy.Position().Revision == 0 }
 
+func (m *Mirror) watchWait() time.Duration {
+	if wait := m.WatchWait(); wait > 0 {
+		return min(wait, maxWatchWait)
+	}
+	return maxWatchWait
+}
+
 func (m *Mirror) watch(ctx context.Context) error {
-	at, wait := m.Copy.Position(), m.WatchWait
+	at, wait := m.Copy.Position(), m.watchWait()
 	if now := time.Now(); m.isOwnReadDue(now) {
 		wait, m.lastOwnRead = ownReadWait, now
 	}
