mirror: the doubt of a VM that was cut off stays there

A VM that returns from a cut takes its own silence for an outage of the store, in which the store may drop entries of live servers, and holds deletions back for 2.7 s. It passed them on as tentative, and all others held them back too, which had read the store, or heard of it, all the time.

Change: a deletion from another VM is tentative for no longer than the receiver has a reason of its own: its copy was not confirmed by anyone for as long as an outage takes, within the grace time. After a real outage of the store that is so for every VM.

Ruled out: to let a VM that returns apply deletions at once. It cannot tell the two cases apart, and after a real outage live servers would leave the service.

TestDoubtOfAVMThatWasCutOffStaysThere fails without the change (2 of 4 cases).

--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -12,7 +12,9 @@
 // of changes: see Span.
 //
 // The store drops keys whose owners did not renew them, even while it is down itself. Deletions after an outage that was long
-// enough for this are therefore tentative until a grace period after its end, in which a live owner writes its key again.
+// enough for this are therefore tentative until a grace period after its end, in which a live owner writes its key again. A VM that was
+// cut off cannot tell its own silence from an outage. Its doubt is passed on with the deletions, and counts only for VMs that have heard
+// nothing of the store for as long themselves.
 //
 // A store that comes back from an older copy of itself begins a new era, and may give out again the revisions that it had given
 // out since. A copy of another era is therefore replaced as a whole. What owners had written in the lost time is kept until they
@@ -135,6 +137,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if at.After(c.confirmed) {
+		c.outage.recordConfirmation(c.confirmed, at, time.Now())
 		c.confirmed = at
 	}
 }
@@ -186,10 +189,11 @@
 		c.adoptEra(changes, now)
 		return
 	}
-	entries := changes.Entries
+	doubt := c.outage.doubtFor(c.confirmed, now)
+	entries := withinDoubt(changes.Entries, doubt)
 	if changes.IsFull {
 		missing := c.missingIn(entries, changes.Revision)
-		tentativeFor := max(changes.TentativeFor, c.outage.tentativeUntil().Sub(now))
+		tentativeFor := max(min(changes.TentativeFor, doubt), c.outage.tentativeUntil().Sub(now))
 		for _, i := range missing {
 			entries = append(entries, Entry{Item: i, TentativeFor: tentativeFor})
 		}
@@ -202,6 +206,15 @@
 	c.advance(changes.position())
 }
 
+// withinDoubt returns the entries of another copy with deletions that are tentative for no longer than this VM doubts the store.
+func withinDoubt(entries []Entry, doubt time.Duration) []Entry {
+	out := slices.Clone(entries)
+	for i := range out {
+		out[i].TentativeFor = min(out[i].TentativeFor, doubt)
+	}
+	return out
+}
+
 // missingIn returns the items that the copy has and a full copy or a full read at the given revision has not, as deleted at this
 // revision. The caller holds c.mu.
 func (c *Copy) missingIn(full []Entry, revision uint64) []kv.Item {
@@ -234,6 +247,7 @@
 		return false
 	}
 	c.outage.recordEnd(c.confirmed, now)
+	c.outage.recordConfirmation(c.confirmed, now, now)
 	c.applyNewer(c.toEntries(changes.Items, now), now)
 	if changes.Revision >= c.at.Revision {
 		c.history.add(Span{From: c.at.Revision, To: changes.Revision})
--- a/internal/mirror/copy_test.go
+++ b/internal/mirror/copy_test.go
@@ -1,6 +1,7 @@
 package mirror_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -83,6 +84,45 @@
 	qt.Check(t, follower["a"], qt.Equals, "")
 }
 
+// TestDoubtOfAVMThatWasCutOffStaysThere guards against requests to backend servers that are gone (DRAIN): a VM that returns from a cut
+// takes its own silence for an outage of the store, and passes deletions on as tentative to VMs that have followed the store all the
+// time. They must apply them at once, also while they fetch everything, and hold them back if the store was silent for them too.
+func TestDoubtOfAVMThatWasCutOffStaysThere(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, test := range []struct {
+		name string
+		// confirmed is when the copy of the follower was last confirmed before the deletion reaches it, which ends the outage.
+		confirmed time.Time
+		isHeld    bool
+	}{
+		{"followed the store all the time", start.Add(-300 * time.Millisecond), false},
+		{"nobody could read the store", start.Add(-longOutage), true},
+	} {
+		for _, isFull := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, full %t", test.name, isFull), func(t *testing.T) {
+				follower := recorder{}
+				from, to := mirror.NewCopy(recorder{}.apply, numbered{}), mirror.NewCopy(follower.apply, numbered{})
+				for _, c := range []*mirror.Copy{from, to} {
+					c.AdoptFull([]kv.Item{written("a", "1", 2)}, kv.Position{Revision: 2}, start.Add(-longOutage))
+				}
+				for at := start.Add(-longOutage); !at.After(test.confirmed); at = at.Add(time.Second) {
+					to.Confirm(at)
+				}
+				to.Confirm(test.confirmed)
+				from.RecordFailure(start)
+				from.Adopt(kv.Changes{Items: []kv.Item{{Key: "a", Revision: 5, Deleted: true}}, Revision: 5}, start)
+				after := kv.Position{Revision: 2}
+				if isFull {
+					after.Revision = 0
+				}
+				to.AdoptFromPeer(from.Since(after, start), start)
+				_, exists := follower["a"]
+				qt.Check(t, exists, qt.Equals, test.isHeld)
+			})
+		}
+	}
+}
+
 // TestDeletionBecomesCertainInTime guards against requests to backend servers that are gone, for seconds after their entries
 // were removed: because of a single failed call, since a deletion was read late after an outage, or since it was passed on.
 func TestDeletionBecomesCertainInTime(t *testing.T) {
--- a/internal/mirror/outage.go
+++ b/internal/mirror/outage.go
@@ -19,6 +19,28 @@
 	isFailing bool
 	// endedAt is when an outage of at least minOutage was last noticed.
 	endedAt time.Time
+	// silenceEndedAt is when the copy was last confirmed after it had not been for minOutage, by this VM or by another one.
+	silenceEndedAt time.Time
+}
+
+// recordConfirmation records that the copy is known to have been complete at the time at, and before that at the time confirmed.
+func (o *outage) recordConfirmation(confirmed, at, now time.Time) {
+	if !confirmed.IsZero() && at.Sub(confirmed) >= minOutage {
+		o.silenceEndedAt = now
+	}
+}
+
+// doubtFor returns for how much longer this VM has a reason of its own to doubt deletions that another one holds for tentative.
+// confirmed is when the copy was last known to be complete.
+func (o *outage) doubtFor(confirmed, now time.Time) time.Duration {
+	if now.Sub(confirmed) >= minOutage {
+		return deletionGrace
+	}
+	until := o.silenceEndedAt.Add(deletionGrace)
+	if own := o.tentativeUntil(); own.After(until) {
+		until = own
+	}
+	return max(0, until.Sub(now))
 }
 
 // recordFailure records a failed call. confirmed is when the copy was last known to be complete.
