backend: an answer without a request id counts only as the first of its connection

On a connection that had carried an answer, one without an id and with a status from 400 on was taken as the answer to the current request.

Change: there it is an error, as a success without an id has been: the outcome is unknown, and an idempotent request is sent again. Answers that carry the id of another request are still skipped.

Ruled out: to skip an answer without an id and wait for the next. Where it was the only one, the caller would wait until its deadline.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -50,9 +50,6 @@
 	Status int
 	Header http.Header
 	Body   Body
-	// MayBelongToAnother is set if the answer carries no request ID and is not the first one on its connection: it may be a
-	// copy of an earlier answer.
-	MayBelongToAnother bool
 }
 
 // Causes of a failed attempt. Pool.Do returns them wrapped in an AttemptError.
@@ -232,7 +229,8 @@
 	}
 	defer resp.Body.Close()
 	id := resp.Header.Get(c.options.RequestIDHeader)
-	isMismatched := id != r.ID && (id != "" || (c.isReused && !c.acceptsMissingID(resp.StatusCode)))
+	// An answer without an ID is certainly that of the request only if it is the first one on its connection.
+	isMismatched := id != r.ID && (id != "" || c.isReused)
 	if isMismatched && (!c.options.SkipMismatched || id == "") {
 		return nil, false, ErrWrongRequestID
 	}
@@ -252,20 +250,12 @@
 	if isMismatched {
 		return nil, false, nil
 	}
-	mayBelongToAnother := id == "" && c.isReused
 	c.isReused = true
 	c.maxIdle = min(c.options.MaxIdle, advertisedIdleTime(resp.Header))
-	answer := &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, MayBelongToAnother: mayBelongToAnother}
+	answer := &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}
 	return answer, !resp.Close && !isUnframed && id != "" && c.reader.Buffered() == 0, nil
 }
 
-// acceptsMissingID reports whether an answer without a request ID is accepted on a reused connection. With SkipMismatched,
-// where late answers are recognised by their ID, an error status without an ID is taken as the answer to the current
-// request.
-func (c *conn) acceptsMissingID(status int) bool {
-	return c.options.SkipMismatched && status >= http.StatusBadRequest
-}
-
 // advertisedIdleTime returns the idle timeout in the Keep-Alive header, less a margin, so that no request is sent on a
 // connection that the backend server is closing. Without the header it returns the maximum duration.
 func advertisedIdleTime(h http.Header) time.Duration {
--- a/internal/backend/options_test.go
+++ b/internal/backend/options_test.go
@@ -49,7 +49,8 @@
 }
 
 // TestMismatchedAnswers checks that late answers to an earlier request are skipped, up to a limit, and that a connection
-// that carried one is not reused.
+// that carried one is not reused. It guards against bytes of a faulty backend server that belong to no request and are returned to the
+// next caller of the connection as its answer (DENIED): without an ID, only the first answer of a connection counts.
 func TestMismatchedAnswers(t *testing.T) {
 	own := func(r *http.Request) string { return okAnswer(r.Header.Get(header.RequestID), "own body") }
 	late := okAnswer("earlier", "late body")
@@ -65,6 +66,12 @@
 		{"a success without a request id", func(*http.Request) string {
 			return "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
 		}, false},
+		{"an error without a request id before the expected answer", func(r *http.Request) string {
+			return "HTTP/1.1 400 Bad Request\r\nContent-Length: 1\r\n\r\nx" + own(r)
+		}, false},
+		{"a refusal without a request id", func(*http.Request) string {
+			return "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 1\r\n\r\nx"
+		}, false},
 		{"a late answer without a length", func(r *http.Request) string {
 			return "HTTP/1.1 200 OK\r\n" + header.RequestID + ": earlier\r\n\r\n" + own(r)
 		}, false},
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -156,15 +156,11 @@
 	}
 	a.sent++
 	p := &a.dispatcher.options.Protocol
-	if answer.Status != http.StatusMisdirectedRequest && !answer.MayBelongToAnother {
+	if answer.Status != http.StatusMisdirectedRequest {
 		res.said = readStatement(answer.Header, p, res.said.Incarnation)
 		res.pause = readPause(answer.Status, answer.Header, time.Now())
 	}
 	switch {
-	case isRefusal(answer, p) && answer.MayBelongToAnother:
-		// Whether this request has run is unknown.
-		res.complete(evidence.Garbled, 0)
-		return a.setUnknown(reasonGarbled)
 	case isRefusal(answer, p):
 		res.complete(evidence.Shed, 0)
 		return a.setNotRun(reasonShed, stepRetry)
