backend: a server that reads a large body slowly is not taken for a silent one

TCP_USER_TIMEOUT, which ends connections to peers that have gone silent, also ends those to a receiver that acknowledges everything and keeps its window closed for as long.

Change: where a body may not fit into the buffers on its way (over 16 KiB), the connection waits until the deadline of its request. It has the usual time again before another request gets it.

Ruled out: to ask the kernel when the peer was last heard (TCP_INFO). It tells the two apart, but a peer that goes silent in the middle of an upload is bounded by the deadline as well, and small requests keep the 1.5 s.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -26,6 +26,7 @@
 
 	"github.com/primroseladder/primroseladder/internal/httpstatus"
 	"github.com/primroseladder/primroseladder/internal/membudget"
+	"github.com/primroseladder/primroseladder/internal/tcpdial"
 )
 
 // Request is a request to a backend server.
@@ -104,6 +105,16 @@
 	return wrapped
 }
 
+// extendUserTimeout makes the connection wait for its peer for at least the given time, until the function that it returns is called.
+func (c *conn) extendUserTimeout(timeout time.Duration) (restore func()) {
+	usual := c.options.UserTimeout
+	if usual == 0 || timeout <= usual || tcpdial.SetUserTimeout(c.Conn, timeout) != nil {
+		return func() {}
+	}
+	// A failure leaves the longer time.
+	return func() { _ = tcpdial.SetUserTimeout(c.Conn, usual) }
+}
+
 // Read reads from the connection. It fails with ErrAnswerTooLarge once the read budget is used up.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.readBudget <= 0 {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -20,6 +20,9 @@
 // defaultMaxIdle is the idle time after which connections of a pool from NewPool are not reused.
 const defaultMaxIdle = 30 * time.Second
 
+// largeBodyBytes is the size above which a body may not fit into the buffers on its way, so that its sender waits for its reader.
+const largeBodyBytes = 16 << 10
+
 // dialTimeout is the connect timeout of pools from NewPool.
 const dialTimeout = 500 * time.Millisecond
 
@@ -33,6 +36,9 @@
 	MaxIdle time.Duration
 	// Dialer opens connections.
 	Dialer *net.Dialer
+	// UserTimeout, if set, is the time after which the dialer's connections end if sent data is not acknowledged. A request with a
+	// large body may take until its deadline instead, since its backend server may read slowly.
+	UserTimeout time.Duration
 	// AllowUnframed accepts answers that have neither a Content-Length nor chunked encoding and end with a clean close of
 	// the connection.
 	AllowUnframed bool
@@ -105,8 +111,12 @@
 			return nil, &AttemptError{MayHaveStarted: false, Err: peererr.Wrap(err, "send", p.address)}
 		}
 	}
+	restoreTimeout := func() {}
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = c.SetDeadline(deadline)
+		if len(r.Body) > largeBodyBytes {
+			restoreTimeout = c.extendUserTimeout(time.Until(deadline))
+		}
 	}
 	idleFor := c.idleTime()
 	// A deadline in the past ends a blocked read or write as soon as ctx is cancelled.
@@ -115,6 +125,9 @@
 	if !stop() {
 		reusable = false
 	}
+	if reusable {
+		restoreTimeout()
+	}
 	p.release(c, reusable)
 	if failure != nil {
 		failure.Err, failure.ConnIdle = peererr.Wrap(failure.Err, "exchange", p.address), idleFor
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -183,7 +183,7 @@
 	return func(to roster.Server, maxConnections int) ConnectionPool {
 		return backend.NewPoolWithOptions(to.Address, backend.Options{
 			MaxConns: maxConnections, RequestIDHeader: protocol.RequestID, MaxIdle: maxIdle, Memory: memory,
-			Dialer: tcpdial.NewDialer(tcpdial.BackendOptions), AllowUnframed: true, SkipMismatched: true,
+			Dialer: tcpdial.NewDialer(tcpdial.BackendOptions), UserTimeout: tcpdial.BackendOptions.UserTimeout, AllowUnframed: true, SkipMismatched: true,
 		})
 	}
 }
--- a/internal/tcpdial/tcpdial.go
+++ b/internal/tcpdial/tcpdial.go
@@ -3,6 +3,7 @@
 package tcpdial
 
 import (
+	"fmt"
 	"net"
 	"syscall"
 	"time"
@@ -43,15 +44,31 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: o.KeepAliveInterval, Interval: o.KeepAliveInterval, Count: o.KeepAliveProbes,
 		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var failure error
-			err := raw.Control(func(fd uintptr) {
-				failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(o.UserTimeout.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return failure
-		},
+		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, o.UserTimeout) },
+	}
+}
+
+// SetUserTimeout changes Options.UserTimeout of an open connection. The kernel also ends a connection whose peer acknowledges
+// everything and keeps its window closed for as long, because it reads slowly.
+func SetUserTimeout(c net.Conn, timeout time.Duration) error {
+	system, ok := c.(syscall.Conn)
+	if !ok {
+		return fmt.Errorf("set the user timeout: %T is not a system connection", c)
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setUserTimeout(raw, timeout)
+}
+
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
 	}
+	return failure
 }
