--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -20,6 +20,8 @@
 	ErrOutcomeUnknown = errors.New("the write has no known outcome")
 	// ErrCompacted means that the store has discarded the history that a watch needs.
 	ErrCompacted = errors.New("the history after this revision is discarded")
+	// ErrTooLarge means that the response has more bytes than are accepted. Another call may return less at a time.
+	ErrTooLarge = errors.New("the response is too large")
 	// ErrConflict means that a precondition of a transaction was not met.
 	ErrConflict = errors.New("a precondition of the transaction does not hold")
 	// ErrNoLease means that the lease has ended.
--- a/internal/kv/kvtest/kvtest.go
+++ b/internal/kv/kvtest/kvtest.go
@@ -301,8 +301,12 @@
 	}
 }
 
-// pageSize is the maximum number of items per page.
-const pageSize = 50
+const (
+	// pageSize is the maximum number of items per page.
+	pageSize = 50
+	// pageBytes is the size of the values of a page from which it holds no further item.
+	pageBytes = 1 << 20
+)
 
 // Range implements kv.Store.
 func (c *Client) Range(ctx context.Context, prefix, after string) (kv.Page, error) {
@@ -324,9 +328,14 @@
 		}
 	}
 	slices.Sort(keys)
-	page := kv.Page{Revision: s.revision, Era: s.era, More: len(keys) > pageSize}
-	for _, key := range keys[:min(pageSize, len(keys))] {
+	page, size := kv.Page{Revision: s.revision, Era: s.era}, 0
+	for _, key := range keys {
+		if len(page.Items) >= pageSize || size >= pageBytes {
+			page.More = true
+			break
+		}
 		page.Items = append(page.Items, s.items[key])
+		size += len(s.items[key].Value)
 	}
 	return page
 }
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -57,6 +57,7 @@
 
 	PeerUnreachable = Event{1401, zerolog.DebugLevel, "a keeper cannot be reached"}
 
+	ChangesTooLarge = Event{1322, zerolog.WarnLevel, "the changes of the store are too large for one response"}
 	VMSilent        = Event{1402, zerolog.WarnLevel, "a VM of this availability zone is silent"}
 	VMSilenceEnded  = Event{1403, zerolog.InfoLevel, "a silent VM of this availability zone sends heartbeats again"}
 	FetchFailed     = Event{1405, zerolog.WarnLevel, "changes could not be fetched from another VM"}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -344,6 +344,10 @@
 		logevent.HistoryDiscarded.Log(m.Log).Uint64("revision", at.Revision).Send()
 		return m.readFull(ctx)
 	}
+	if errors.Is(err, kv.ErrTooLarge) {
+		logevent.ChangesTooLarge.Log(m.Log).Uint64("revision", at.Revision).Err(err).Send()
+		return m.readFull(ctx)
+	}
 	if err != nil {
 		return err
 	}
