dispatch: confirming a choice is in a file of its own

No behaviour changes but one: a request whose caller has left is not run, rather than unknown, if it was also stopped for an old choice. Reading the diff anew: attempts.go had grown by four errors and their results, and a report held its answer behind a pointer to tell it from evidence.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -179,51 +179,6 @@
 	return stepFinish
 }
 
-// errPastDeadline means that the deadline has passed. The timer of a context may be late by as much as the process.
-var errPastDeadline = errors.New("the deadline has passed")
-
-// errSuperseded means that the configuration in force no longer lets the request go to its service.
-var errSuperseded = errors.New("the configuration has changed since the service was chosen")
-
-// errBlocked means that the request has been blocked since it was allowed to run.
-var errBlocked = errors.New("the request has crashed backend servers meanwhile")
-
-// errServerLeft means that the backend server has left, or has said that it leaves, since it was chosen.
-var errServerLeft = errors.New("the backend server has left since it was chosen")
-
-// confirmChoice returns an error if the choice of a backend server no longer holds. It is called right before the request is
-// written: until then the request has waited, for a connection or for the processor.
-func (a *attemptLoop) confirmChoice(res *reservation, f poison.Fingerprint, now time.Time) error {
-	if !now.Before(a.deadline) {
-		return errPastDeadline
-	}
-	if a.dispatcher.crashes.IsBlocked(f) {
-		return errBlocked
-	}
-	if isAllowed := a.request.IsStillAllowed; isAllowed != nil && !isAllowed() {
-		return errSuperseded
-	}
-	if !a.service.news.mayReceive(incarnation{res.id, res.said.Incarnation}, res.address) {
-		return errServerLeft
-	}
-	return nil
-}
-
-// lateWrite is how long after the choice of its backend server the writing of a request is logged as late.
-const lateWrite = 250 * time.Millisecond
-
-// logIfLate logs a request that is written after its deadline, or long after its backend server was chosen.
-func (a *attemptLoop) logIfLate(res *reservation, t *Timing) {
-	r := a.request
-	if t.WrittenAt.Sub(t.ChosenAt) < lateWrite && t.WrittenAt.Before(a.deadline) {
-		return
-	}
-	logevent.WrittenLate.Log(a.dispatcher.options.Log).Str("request", r.ID).Str("service", r.Service).Str("server", res.id).
-		Uint64("config", r.ConfigVersion).Uint64("entry_revision", t.EntryRevision).Time("read", r.Arrival).
-		Dur("chosen_ms", t.ChosenAt.Sub(r.Arrival)).Dur("written_ms", t.WrittenAt.Sub(r.Arrival)).
-		Dur("left_ms", a.deadline.Sub(t.WrittenAt)).Dur("lag_ms", t.Lag).Send()
-}
-
 // isRefusal reports whether a backend server says that it has not run the request.
 func isRefusal(answer *backend.Answer, p *Protocol) bool {
 	return answer.Status == http.StatusMisdirectedRequest || answer.Header.Get(p.NotExecuted) != ""
@@ -284,25 +239,11 @@
 		a.sent++
 		a.mayHaveRun = true
 	}
-	switch {
-	case errors.Is(err, errPastDeadline):
-		res.release()
-		return a.setNotRun(reasonTimeLimit, stepFinish)
-	case ctx.Err() != nil:
-		return a.afterContextDone(ctx, res, mayHaveStarted)
-	case errors.Is(err, errBlocked):
-		res.release()
-		next := a.setNotRun(reasonBlocked, stepFinish)
-		a.lastResult.RetryAfter = retryAfterBlocked
-		return next
-	case errors.Is(err, errSuperseded):
-		res.release()
-		next := a.setNotRun(reasonSuperseded, stepFinish)
-		a.lastResult.IsSuperseded = a.lastResult.Outcome == NotRun
+	if next, isOld := a.afterOldChoice(res, err); isOld {
 		return next
-	case errors.Is(err, errServerLeft):
-		res.release()
-		return a.setNotRun(reasonServerLeft, stepChooseAgain)
+	}
+	if ctx.Err() != nil {
+		return a.afterContextDone(ctx, res, mayHaveStarted)
 	}
 	if errors.Is(err, backend.ErrTooManyConns) {
 		res.release()
--- a/internal/dispatch/news.go
+++ b/internal/dispatch/news.go
@@ -37,18 +37,16 @@
 	at time.Time
 }
 
-// report is what another VM has told of a service.
+// report is what another VM has told of a service: evidence, or the answer to a question.
 type report struct {
-	// evidence is set unless health is. Its sender is peer, which is empty for a VM of another region.
+	at time.Time
+	// evidence is nil in an answer. Its sender is peer, which is empty for a VM of another region.
 	evidence *Evidence
 	peer     string
-	// health is the answer to a question.
-	health *healthAnswer
-	at     time.Time
+	// health is what the answer holds, which may be nothing.
+	health []ServerHealth
 }
 
-type healthAnswer struct{ known []ServerHealth }
-
 // setList replaces the list of backend servers.
 func (n *news) setList(l serverList) {
 	l.byID = make(map[string]roster.Server, len(l.servers))
@@ -160,8 +158,8 @@
 	}
 	for _, r := range reports {
 		switch {
-		case r.health != nil:
-			s.applyHealth(r.health.known, r.at)
+		case r.evidence == nil:
+			s.applyHealth(r.health, r.at)
 		case r.peer != "":
 			s.applyEvidence(r.peer, *r.evidence, r.at)
 		default:
--- a/internal/dispatch/question.go
+++ b/internal/dispatch/question.go
@@ -105,7 +105,7 @@
 	if s == nil {
 		return
 	}
-	s.news.addReport(report{health: &healthAnswer{known}, at: time.Now()})
+	s.news.addReport(report{health: known, at: time.Now()})
 	s.applyPending()
 }
 
