--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -114,8 +114,7 @@
 	}
 }
 
-// maxDecisions is how many versions of the configuration a request is decided on by. Versions come at most a few times a second, and
-// one that changes where a request goes is rare.
+// maxDecisions limits how often a request is decided on, so that a series of versions does not keep it for ever.
 const maxDecisions = 3
 
 // countRequest counts a request of a host that the configuration holds.
@@ -222,8 +221,8 @@
 // basisKey is the context key of the basis of a request.
 type basisKey struct{}
 
-// Prepare returns the request with its basis attached to its context. All further decisions on the request are made by it, so that
-// a configuration that comes into force meanwhile changes none of them halfway.
+// Prepare returns the request with its basis attached to its context. The request is decided on by it as a whole, so that no two
+// configurations are mixed. Only handle may start over, by a later one.
 func (h *Handler) Prepare(r *http.Request) *http.Request {
 	return r.WithContext(context.WithValue(r.Context(), basisKey{}, h.currentBasis(r.Context())))
 }
